--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+DEPLOYMENT ?= ribera-norte
+PACKAGES := packages/fescueseam packages/fescueseam-daemon packages/fescueseam-cli packages/fescueseam-standins
+SOURCES := $(wildcard packages/*/src)
+
+.PHONY: install format lint types test demo measure capacity soak clean
+
+$(VENV)/installed: requirements/lock.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements/lock.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+install: $(VENV)/installed
+
+format: install
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+
+lint: install
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: install
+	$(BIN)/mypy $(SOURCES)
+
+test: lint types
+	SEED=$(SEED) $(BIN)/pytest
+
+demo: install
+	$(BIN)/python -m fescueseam_standins.demo --deployment $(DEPLOYMENT)
+
+measure: install
+	$(BIN)/python -m fescueseam_standins.measure --seed $(SEED)
+
+capacity: install
+	$(BIN)/python -m fescueseam_standins.capacity --seed $(SEED)
+
+soak: install
+	SEED=$(SEED) SOAK=1 $(BIN)/pytest -k soak
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the operators' command."""
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the balancer and the agent."""
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/cli.py
@@ -0,0 +1,5 @@
+"""Start the daemons."""
+
+
+def main() -> None:
+    """Start the daemon named on the command line."""
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems in demos and tests."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Bound what a backend server is given."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Hold settings and the operators' configuration."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Identify flows."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Track which processes are alive."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Define and encode the messages between processes."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/packets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapt callers' packets."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Place new flows on backend servers."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bound retries."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Find the row of backend servers for a flow."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the tables in the platform's object API."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate versioned values between processes."""
