--- a/packages/fescueseam/src/fescueseam/routing/table.py
+++ b/packages/fescueseam/src/fescueseam/routing/table.py
@@ -71,7 +71,7 @@
 
 def rank_member(member: Member, bucket: int, seed: int) -> int:
     """Return the rendezvous rank of a member for a bucket; the highest comes first."""
-    return xxhash.xxh3_64_intdigest(f"{member.name}/{bucket}", seed)
+    return xxhash.xxh3_64_intdigest(f"{member.name}/{bucket}".encode(), seed)
 
 
 @lru_cache(maxsize=65536)
