--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/packets/adapter.py
@@ -0,0 +1,195 @@
+"""Parse and build the IP packets that the fabric carries in UDP datagrams."""
+
+import struct
+from enum import Enum
+
+import dpkt
+from attrs import frozen
+
+from fescueseam.conf.models import Transport
+from fescueseam.exceptions import ErrorKind, PacketError
+from fescueseam.flows.keys import PROTOCOL_TCP, PROTOCOL_UDP, FlowKey
+
+# dpkt's packet classes cost several times the whole balancer path per packet, so the hot path
+# takes only the header formats from them.
+_IPV4 = struct.Struct(dpkt.ip.IP.__hdr_fmt__)
+_IPV6 = struct.Struct(dpkt.ip6.IP6.__hdr_fmt__)
+_TCP = struct.Struct(dpkt.tcp.TCP.__hdr_fmt__)
+_UDP = struct.Struct(dpkt.udp.UDP.__hdr_fmt__)
+_PSEUDO_IPV4 = struct.Struct(">4s4sxBH")
+_PSEUDO_IPV6 = struct.Struct(">16s16sIxxxB")
+
+IPV4_ADDRESS_BYTES = 4
+MAX_PACKET_BYTES = 65535
+HOP_LIMIT = 64
+_CHECKSUM_MODULUS = 0xFFFF
+_FRAGMENT_MASK = dpkt.ip.IP_MF | dpkt.ip.IP_OFFMASK
+_TCP_FLAGS_MASK = 0xFF
+
+_QUIC_LONG_HEADER = 0x80
+_QUIC_TYPE_MASK = 0x30
+_QUIC_HEADER_BYTES = 5
+QUIC_VERSION_1 = b"\x00\x00\x00\x01"
+QUIC_VERSION_2 = b"\x6b\x33\x43\xcf"
+_QUIC_VERSION_NEGOTIATION = b"\x00\x00\x00\x00"
+_QUIC_INITIAL_TYPES = {QUIC_VERSION_1: 0x00, QUIC_VERSION_2: 0x10}
+QUIC_MIN_INITIAL_BYTES = 1200
+"""Bound from below the datagram that may open a QUIC connection."""
+
+
+class Phase(Enum):
+    """Tell which part of a flow's life a packet belongs to."""
+
+    OPENING = "opening"
+    ESTABLISHED = "established"
+    UNMARKED = "unmarked"
+    """Belong to a transport whose packets do not tell."""
+    CLOSING = "closing"
+
+
+@frozen
+class Packet:
+    """Hold one parsed packet of a caller."""
+
+    flow: FlowKey
+    raw: bytes
+    """Hold the whole inner IP packet."""
+    protocol: int
+    payload: bytes
+    tcp_flags: int = 0
+
+
+def decapsulate(datagram: bytes) -> bytes:
+    """Return the inner packet of a GUE variant 1 datagram, which has no header of its own."""
+    return _check_version(datagram)
+
+
+def encapsulate(raw: bytes) -> bytes:
+    """Return the GUE variant 1 datagram that carries an inner packet."""
+    return _check_version(raw)
+
+
+def parse_packet(raw: bytes) -> Packet:
+    """Parse an IPv4 or IPv6 packet that carries TCP or UDP."""
+    version = raw[0] >> 4 if raw else 0
+    if version == 4:
+        protocol, source, destination, offset = _parse_ipv4(raw)
+    elif version == 6:
+        protocol, source, destination, offset = _parse_ipv6(raw)
+    else:
+        raise PacketError("neither IPv4 nor IPv6")
+    if protocol == PROTOCOL_UDP:
+        return _parse_udp(raw, source, destination, offset)
+    if protocol == PROTOCOL_TCP:
+        return _parse_tcp(raw, source, destination, offset)
+    raise PacketError(f"transport protocol {protocol}", ErrorKind.UNSUPPORTED_PACKET)
+
+
+def find_phase(packet: Packet, transport: Transport) -> Phase:
+    """Tell which part of its flow's life a packet belongs to."""
+    if transport is Transport.QUIC:
+        return Phase.OPENING if _opens_quic(packet.payload) else Phase.ESTABLISHED
+    if transport is Transport.UDP:
+        return Phase.UNMARKED
+    flags = packet.tcp_flags
+    if flags & dpkt.tcp.TH_RST:
+        return Phase.CLOSING
+    if flags & (dpkt.tcp.TH_SYN | dpkt.tcp.TH_ACK) == dpkt.tcp.TH_SYN:
+        return Phase.OPENING
+    return Phase.ESTABLISHED
+
+
+def build_udp(
+    source: bytes, source_port: int, destination: bytes, destination_port: int, payload: bytes
+) -> bytes:
+    """Build an IP packet with one UDP datagram, lengths and checksums included."""
+    length = _UDP.size + len(payload)
+    header_bytes = _IPV4.size if len(source) == IPV4_ADDRESS_BYTES else 0
+    if length + header_bytes > MAX_PACKET_BYTES:
+        raise PacketError(f"payload of {len(payload)} bytes", ErrorKind.OVERSIZE_DATAGRAM)
+    if header_bytes:
+        pseudo = _PSEUDO_IPV4.pack(source, destination, PROTOCOL_UDP, length)
+        header = build_ipv4_header(source, destination, PROTOCOL_UDP, length)
+    else:
+        pseudo = _PSEUDO_IPV6.pack(source, destination, length, PROTOCOL_UDP)
+        header = _IPV6.pack(6 << 28, length, PROTOCOL_UDP, HOP_LIMIT, source, destination)
+    bare = _UDP.pack(source_port, destination_port, length, 0)
+    checksum = compute_checksum(pseudo + bare + payload)
+    return header + _UDP.pack(source_port, destination_port, length, checksum) + payload
+
+
+def build_ipv4_header(source: bytes, destination: bytes, protocol: int, length: int) -> bytes:
+    """Build an IPv4 header without options for a payload of a given length."""
+    total = _IPV4.size + length
+    fields = (0x45, 0, total, 0, dpkt.ip.IP_DF, HOP_LIMIT, protocol)
+    bare = _IPV4.pack(*fields, 0, source, destination)
+    return _IPV4.pack(*fields, compute_checksum(bare), source, destination)
+
+
+def compute_checksum(data: bytes) -> int:
+    """Return the Internet checksum (RFC 1071) in its form that is never zero."""
+    # The ones' complement sum of 16-bit words is the remainder by 65,535, which one division of
+    # a long integer gives many times sooner than dpkt's loop. UDP reads zero as "no checksum".
+    number = int.from_bytes(data, "big") << ((len(data) & 1) << 3)
+    return _CHECKSUM_MODULUS - number % _CHECKSUM_MODULUS
+
+
+def _check_version(raw: bytes) -> bytes:
+    if not raw or raw[0] >> 4 not in (4, 6):
+        raise PacketError("neither IPv4 nor IPv6")
+    return raw
+
+
+def _parse_ipv4(raw: bytes) -> tuple[int, bytes, bytes, int]:
+    if len(raw) < _IPV4.size:
+        raise PacketError("short IPv4 header")
+    first, _, total, _, fragment, _, protocol, _, source, destination = _IPV4.unpack_from(raw)
+    offset = (first & 0xF) << 2
+    if offset < _IPV4.size or total != len(raw) or offset > total:
+        raise PacketError("IPv4 lengths do not match")
+    if fragment & _FRAGMENT_MASK:
+        raise PacketError("IPv4 fragment", ErrorKind.UNSUPPORTED_PACKET)
+    return protocol, source, destination, offset
+
+
+def _parse_ipv6(raw: bytes) -> tuple[int, bytes, bytes, int]:
+    if len(raw) < _IPV6.size:
+        raise PacketError("short IPv6 header")
+    _, length, protocol, _, source, destination = _IPV6.unpack_from(raw)
+    if _IPV6.size + length != len(raw):
+        raise PacketError("IPv6 lengths do not match")
+    return protocol, source, destination, _IPV6.size
+
+
+def _parse_udp(raw: bytes, source: bytes, destination: bytes, offset: int) -> Packet:
+    if len(raw) < offset + _UDP.size:
+        raise PacketError("short UDP header")
+    source_port, destination_port, length, _ = _UDP.unpack_from(raw, offset)
+    end = offset + length
+    if length < _UDP.size or end > len(raw):
+        raise PacketError("UDP length does not match")
+    flow = FlowKey(PROTOCOL_UDP, source, source_port, destination, destination_port)
+    return Packet(flow, raw, PROTOCOL_UDP, raw[offset + _UDP.size : end])
+
+
+def _parse_tcp(raw: bytes, source: bytes, destination: bytes, offset: int) -> Packet:
+    if len(raw) < offset + _TCP.size:
+        raise PacketError("short TCP header")
+    source_port, destination_port, _, _, off_flags, _, _, _ = _TCP.unpack_from(raw, offset)
+    start = offset + ((off_flags >> 12) << 2)
+    if start < offset + _TCP.size or start > len(raw):
+        raise PacketError("TCP header length does not match")
+    flow = FlowKey(PROTOCOL_TCP, source, source_port, destination, destination_port)
+    return Packet(flow, raw, PROTOCOL_TCP, raw[start:], off_flags & _TCP_FLAGS_MASK)
+
+
+def _opens_quic(payload: bytes) -> bool:
+    if len(payload) < _QUIC_HEADER_BYTES or not payload[0] & _QUIC_LONG_HEADER:
+        return False
+    version = payload[1:_QUIC_HEADER_BYTES]
+    initial = _QUIC_INITIAL_TYPES.get(version)
+    if initial is not None:
+        return payload[0] & _QUIC_TYPE_MASK == initial
+    # A server answers a version that it does not know only when the datagram could open a
+    # connection (RFC 9000, 5.2.2); it then offers its own versions.
+    return version != _QUIC_VERSION_NEGOTIATION and len(payload) >= QUIC_MIN_INITIAL_BYTES
