Decide routing, placement, admission and claims without input or output

Cause: every balancer may get any packet, so one member of each bucket's row records the home of a flow. Ruled out: passing an opening along the row; after a lost message nobody knows whether it ran.

--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/admission/gate.py
@@ -0,0 +1,163 @@
+"""Bound what the backend server beside an agent is given."""
+
+import math
+from enum import Enum
+
+from attrs import define, field, frozen
+
+from fescueseam.conf.models import AdmissionRules, FlowKind
+from fescueseam.messages.types import Load
+
+UTILISATION_TIME_S = 10.0
+"""Average the utilisation over about this time, in seconds."""
+
+FOREIGN_LOAD_S = 60.0
+"""Count load reported beyond the agent's own flows for this long after its start, in seconds."""
+
+
+class Verdict(Enum):
+    """Tell what the gate says to an opening."""
+
+    ADMIT = "admit"
+    FULL = "full"
+    VERIFY = "verify"
+    """Ask the backend server first whether it is still the one that was warmed up."""
+
+
+@frozen
+class LoadReport:
+    """Hold one answer of the backend server's load endpoint."""
+
+    incarnation: int
+    busy: int
+    connections: int
+    requested: float
+    """Tell when the report was asked for; what it says may be older."""
+    uptime_s: float = math.inf
+    draining: bool = False
+
+
+@define
+class Gate:
+    """Count slots and connections and keep to the bounds of a cold start."""
+
+    rules: AdmissionRules
+    started: float
+    draining: bool = False
+    """Refuse new flows; set by operators, the backend server or a shutdown."""
+    slot_bound: int = 0
+    busy: int = 0
+    connections: int = 0
+    _successes: int = 0
+    _warm_since: float = 0.0
+    _verified: float = -math.inf
+    _incarnation: int | None = None
+    _uptime_s: float = 0.0
+    _foreign_busy: int = 0
+    _foreign_connections: int = 0
+    _utilisation: float = 0.0
+    _updated: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._updated = self.started
+        self.cool(self.started)
+
+    def cool(self, now: float) -> None:
+        """Return to the bounds of a cold start."""
+        self.slot_bound = min(self.rules.cold_slots, self.rules.slots)
+        self._successes = 0
+        self._warm_since = now
+        self._verified = -math.inf
+
+    def is_warm(self) -> bool:
+        """Tell whether the bound on slots has reached its full value."""
+        return self.slot_bound >= self.rules.slots
+
+    def bound_connections(self, now: float) -> int:
+        """Return the bound on streams, which grows with time."""
+        cold = min(self.rules.cold_connections, self.rules.connections)
+        share = min(1.0, (now - self._warm_since) / self.rules.warm_up_s)
+        return cold + int((self.rules.connections - cold) * share)
+
+    def judge(self, kind: FlowKind, arrived: float, now: float) -> Verdict:
+        """Return the verdict on an opening that arrived at a given time."""
+        if self.draining or self._incarnation is None:
+            return Verdict.FULL if self.draining else Verdict.VERIFY
+        if kind is FlowKind.REQUEST:
+            taken, bound = self.busy + self._foreign_busy, self.slot_bound
+            cold = min(self.rules.cold_slots, self.rules.slots)
+        else:
+            taken, bound = self.connections + self._foreign_connections, self.bound_connections(now)
+            cold = min(self.rules.cold_connections, self.rules.connections)
+        if taken >= bound:
+            return Verdict.FULL
+        # Above the cold bound only a report asked for after the arrival rules out a silent return
+        # to a cold start.
+        if taken >= cold and self._verified < arrived:
+            return Verdict.VERIFY
+        return Verdict.ADMIT
+
+    def take(self, kind: FlowKind, now: float) -> None:
+        """Count a flow that was admitted."""
+        self._advance(now)
+        if kind is FlowKind.REQUEST:
+            self.busy += 1
+        else:
+            self.connections += 1
+
+    def give_back(self, kind: FlowKind, success: bool, now: float) -> None:
+        """Count the end of a flow; successes of requests warm the backend server up."""
+        self._advance(now)
+        if kind is not FlowKind.REQUEST:
+            self.connections = max(0, self.connections - 1)
+            return
+        self.busy = max(0, self.busy - 1)
+        if success and not self.is_warm():
+            self._successes += 1
+            if self._successes >= self.rules.warm_up_successes:
+                self._successes = 0
+                self.slot_bound += 1
+
+    def note_report(self, report: LoadReport, now: float) -> bool:
+        """Take a load report; return whether the backend server has restarted since the last."""
+        restarted = self._incarnation is not None and (
+            report.incarnation != self._incarnation or report.uptime_s < self._uptime_s
+        )
+        first = self._incarnation is None
+        self._incarnation = report.incarnation
+        self._uptime_s = report.uptime_s
+        if restarted:
+            self.cool(now)
+        self._verified = max(self._verified, report.requested)
+        self._note_foreign(report, now, first or restarted)
+        return restarted
+
+    def note_lost(self, now: float) -> None:
+        """Take it that the backend server is gone; nothing is admitted until it reports."""
+        self._incarnation = None
+        self.cool(now)
+
+    def describe_load(self, now: float) -> Load:
+        """Return the load as peers are told it."""
+        self._advance(now)
+        bound = 0 if self.draining else self.slot_bound
+        return Load(
+            self.busy, bound, self.connections, self.bound_connections(now), self._utilisation
+        )
+
+    def _note_foreign(self, report: LoadReport, now: float, fresh: bool) -> None:
+        # An agent that starts beside a living backend server does not know the flows it serves.
+        if now - self.started > FOREIGN_LOAD_S and not fresh:
+            self._foreign_busy = self._foreign_connections = 0
+            return
+        self._foreign_busy = max(0, report.busy - self.busy)
+        self._foreign_connections = max(0, report.connections - self.connections - self.busy)
+
+    def _advance(self, now: float) -> None:
+        elapsed = now - self._updated
+        if elapsed <= 0:
+            return
+        share = min(1.0, self.busy / self.rules.slots)
+        keep = math.exp(-elapsed / UTILISATION_TIME_S)
+        self._utilisation = self._utilisation * keep + share * (1 - keep)
+        self._updated = now
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Decide for the process beside a backend server."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -0,0 +1,180 @@
+"""Decide for the flows whose home is the backend server beside this agent."""
+
+from collections import OrderedDict
+
+from attrs import define, field, frozen
+
+from fescueseam.admission.gate import Gate, LoadReport, Verdict
+from fescueseam.claims.registry import PACKET_LIFETIME_S
+from fescueseam.conf.models import FlowKind, ServiceClass
+from fescueseam.effects import CloseFlow, Deliver, Drop, Effects, Measure, Observe, Probe
+from fescueseam.exceptions import ErrorKind
+from fescueseam.flows.keys import FlowKey
+from fescueseam.flows.table import FlowRecord, FlowTable
+from fescueseam.packets.adapter import Packet, Phase, find_phase
+
+TURNED_DOWN_LIMIT = 16384
+HELD_LIMIT = 256
+HOLD_S = 0.2
+"""Bound the wait for the backend server's report before an opening is turned down."""
+RECONCILE_IDLE_S = 0.25
+"""End a flow that the backend server no longer reports only if it was silent this long."""
+ADOPT_S = 30.0
+"""Adopt flows that a recorder holds this agent for the home of, this long after a start."""
+TCP_FIN = 0x01
+
+
+@frozen
+class Offer:
+    """Hold an opening that a recorder offers."""
+
+    recorder: str
+    incarnation: int
+    attempt: int
+    packet: Packet = field(repr=False)
+    service_class: ServiceClass
+    arrived: float
+
+
+@frozen
+class TurnedDown:
+    """Remember the last attempt that was turned down for a flow."""
+
+    recorder: str
+    incarnation: int
+    attempt: int
+    expires: float
+
+
+@define
+class Home:
+    """Hold flows, held offers and what was turned down."""
+
+    gate: Gate
+    started: float
+    flows: FlowTable = field(factory=FlowTable)
+    held: OrderedDict[FlowKey, Offer] = field(factory=OrderedDict)
+    _turned_down: OrderedDict[FlowKey, TurnedDown] = field(factory=OrderedDict)
+
+    def has_delivered(self, flow: FlowKey, now: float) -> bool:
+        """Tell whether a flow is open here or has run here lately."""
+        return self.flows.find(flow) is not None or self.flows.has_run(flow, now)
+
+    def is_refusing(self, offer: Offer, now: float) -> bool:
+        """Tell whether the offer, or another recorder's for the flow, was turned down before."""
+        flow = offer.packet.flow
+        known = self._turned_down.get(flow)
+        if known is None or known.expires <= now:
+            return False
+        same = (known.recorder, known.incarnation) == (offer.recorder, offer.incarnation)
+        return not same or offer.attempt <= known.attempt
+
+    def judge(self, offer: Offer, now: float) -> Verdict:
+        """Return the verdict on an offer; openings that must not repeat need room to remember."""
+        if not self.flows.has_room():
+            return Verdict.FULL
+        verdict = self.gate.judge(offer.service_class.kind, offer.arrived, now)
+        if verdict is Verdict.VERIFY and len(self.held) >= HELD_LIMIT:
+            return Verdict.FULL
+        return verdict
+
+    def turn_down(self, offer: Offer, now: float) -> None:
+        """Remember that an offer was turned down, so that a late copy of it is too."""
+        entry = TurnedDown(
+            offer.recorder, offer.incarnation, offer.attempt, now + PACKET_LIFETIME_S
+        )
+        self._turned_down[offer.packet.flow] = entry
+        self._turned_down.move_to_end(offer.packet.flow)
+        while len(self._turned_down) > TURNED_DOWN_LIMIT:
+            self._turned_down.popitem(last=False)
+
+    def open(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
+        """Open a flow that was admitted."""
+        self.gate.take(service_class.kind, now)
+        self.flows.add(FlowRecord(packet.flow, service_class, now, now))
+        return [Deliver(packet.flow, service_class, packet, opening=True)]
+
+    def pass_packet(self, packet: Packet, now: float) -> Effects | None:
+        """Deliver a packet of an open flow; return None if the flow is not held here."""
+        record = self.flows.find(packet.flow)
+        if record is None:
+            if self.flows.has_run(packet.flow, now):
+                return [Drop(ErrorKind.DUPLICATE_OPENING)]
+            return None
+        record.last_seen = now
+        record.finishing = record.finishing or bool(packet.tcp_flags & TCP_FIN)
+        effects: Effects = [Deliver(packet.flow, record.service_class, packet)]
+        if find_phase(packet, record.service_class.transport) is Phase.CLOSING:
+            effects += self.close(packet.flow, True, now)
+        return effects
+
+    def adopt(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects | None:
+        """Take over a flow of an earlier incarnation of this agent, soon after a start."""
+        if now > self.started + ADOPT_S or (self.gate.draining and not self.flows):
+            return None
+        if find_phase(packet, service_class.transport) is not Phase.ESTABLISHED:
+            return None
+        self.gate.take(service_class.kind, now)
+        self.flows.add(FlowRecord(packet.flow, service_class, now, now))
+        return [Deliver(packet.flow, service_class, packet, opening=True)]
+
+    def touch(self, flow: FlowKey, now: float) -> None:
+        """Note that the backend server has answered."""
+        record = self.flows.find(flow)
+        if record is not None:
+            record.last_seen = now
+
+    def close(self, flow: FlowKey, success: bool, now: float) -> Effects:
+        """Close a flow and give its slot or connection back."""
+        record = self.flows.remove(flow)
+        if record is None:
+            return []
+        self.gate.give_back(record.service_class.kind, success, now)
+        if not record.service_class.repeatable:
+            self.flows.quarantine(flow, now + PACKET_LIFETIME_S)
+        life_s = now - record.opened
+        return [CloseFlow(flow), Observe(Measure.FLOW_LIFE_S, life_s, record.service_class.name)]
+
+    def close_all(self, now: float) -> Effects:
+        """Close every flow, none of them a success."""
+        effects: Effects = []
+        for record in self.flows:
+            effects += self.close(record.key, False, now)
+        return effects
+
+    def hold(self, offer: Offer) -> Effects:
+        """Hold an offer until the backend server has reported."""
+        self.held[offer.packet.flow] = offer
+        return [Probe()]
+
+    def take_report(self, report: LoadReport, now: float) -> Effects:
+        """Take a load report; end the flows that a restart has cut."""
+        restarted = self.gate.note_report(report, now)
+        if restarted:
+            return self.close_all(now)
+        return self._reconcile(report, now)
+
+    def expire(self, now: float) -> Effects:
+        """Close flows that have been idle for too long."""
+        effects: Effects = []
+        for record in self.flows:
+            if record.is_idle(now):
+                effects += self.close(record.key, True, now)
+        return effects
+
+    def _reconcile(self, report: LoadReport, now: float) -> Effects:
+        # A report can lag and mislead: at a server that is warming up it ends nothing.
+        excess = len(self.flows) - report.connections
+        if excess <= 0 or not self.gate.is_warm():
+            return []
+        silent = [
+            record
+            for record in self.flows
+            if record.last_seen + RECONCILE_IDLE_S <= report.requested
+            and record.service_class.kind is FlowKind.REQUEST
+        ]
+        silent.sort(key=lambda record: record.last_seen)
+        effects: Effects = []
+        for record in silent[:excess]:
+            effects += self.close(record.key, True, now)
+        return effects
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -0,0 +1,70 @@
+"""Hold the flows of the backend server beside an agent."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from fescueseam.conf.models import ServiceClass
+from fescueseam.flows.keys import FlowKey
+
+CLOSED_LIMIT = 16384
+FINISHING_S = 2.0
+"""Assume that a flow whose caller has finished ends after this time, in seconds."""
+
+
+@define(eq=False)
+class FlowRecord:
+    """Hold one flow."""
+
+    key: FlowKey
+    service_class: ServiceClass
+    opened: float
+    last_seen: float
+    finishing: bool = False
+
+    def is_idle(self, now: float) -> bool:
+        """Tell whether the flow has been silent for so long that it is taken for ended."""
+        limit = FINISHING_S if self.finishing else self.service_class.idle_timeout_s
+        return now >= self.last_seen + limit
+
+
+@define
+class FlowTable:
+    """Hold open flows, and the closed ones that must not run again."""
+
+    _open: dict[FlowKey, FlowRecord] = field(factory=dict)
+    _closed: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def __iter__(self) -> Iterator[FlowRecord]:
+        return iter(list(self._open.values()))
+
+    def find(self, key: FlowKey) -> FlowRecord | None:
+        """Return an open flow."""
+        return self._open.get(key)
+
+    def add(self, record: FlowRecord) -> None:
+        """Add an open flow."""
+        self._open[record.key] = record
+
+    def remove(self, key: FlowKey) -> FlowRecord | None:
+        """Remove an open flow and return it."""
+        return self._open.pop(key, None)
+
+    def quarantine(self, key: FlowKey, until: float) -> None:
+        """Remember a closed flow so that a late duplicate of it does not run."""
+        self._closed[key] = until
+        self._closed.move_to_end(key)
+
+    def has_run(self, key: FlowKey, now: float) -> bool:
+        """Tell whether a flow has been closed here lately."""
+        while self._closed and next(iter(self._closed.values())) <= now:
+            self._closed.popitem(last=False)
+        return key in self._closed
+
+    def has_room(self) -> bool:
+        """Tell whether one more closed flow could be remembered."""
+        return len(self._closed) + len(self._open) < CLOSED_LIMIT
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/placement/opening.py
@@ -0,0 +1,76 @@
+"""Hold what a recorder knows of a flow."""
+
+from enum import Enum
+
+from attrs import define, field, frozen
+
+from fescueseam.conf.models import ServiceClass
+from fescueseam.flows.keys import FlowKey
+from fescueseam.messages.types import Load
+from fescueseam.packets.adapter import Packet, Phase
+
+QUEUE_LIMIT_PACKETS = 8
+"""Bound the packets kept for one flow until its home is known."""
+
+
+class Stage(Enum):
+    """Tell how far the search for a flow's home has come."""
+
+    ASKING = "asking"
+    PLACING = "placing"
+    WAITING = "waiting"
+    UNRESOLVED = "unresolved"
+    """Wait for the answer of a candidate that may have delivered the opening."""
+
+
+@frozen
+class Home:
+    """Name the member that holds a flow."""
+
+    member: str
+    incarnation: int
+
+
+@define(eq=False)
+class Opening:
+    """Hold the search for the home of one flow."""
+
+    flow: FlowKey
+    service_class: ServiceClass
+    packet: Packet
+    phase: Phase
+    started: float
+    stage: Stage = Stage.ASKING
+    claim: bool = False
+    """Require the grants of a majority of the row's members."""
+    asked: float = 0.0
+    silent: set[str] = field(factory=set)
+    """Name the members that have not answered the ask."""
+    granted: set[str] = field(factory=set)
+    majority: int = 0
+    attempt: int = 0
+    attempts: int = 0
+    candidate: str = ""
+    turned_down: set[str] = field(factory=set)
+    abandoned: bool = False
+    """Tell that a candidate was given up without an answer."""
+    sent: float = 0.0
+    resends: int = 0
+    queue: list[Packet] = field(factory=list)
+
+    def keep(self, packet: Packet) -> bool:
+        """Keep a later packet of the flow; return whether there was room."""
+        if len(self.queue) >= QUEUE_LIMIT_PACKETS:
+            return False
+        self.queue.append(packet)
+        return True
+
+
+@define
+class PeerLoad:
+    """Hold the last load heard from a member."""
+
+    load: Load = field(factory=Load)
+    heard: float = 0.0
+    full_until: float = 0.0
+    """Take the member for full until this time."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -0,0 +1,429 @@
+"""Find and remember the homes of the flows whose buckets this member records."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from fescueseam.claims.registry import PACKET_LIFETIME_S, count_majority
+from fescueseam.conf.models import ServiceClass
+from fescueseam.effects import Drop, Effects, Measure, Observe, Refuse, Send
+from fescueseam.exceptions import ErrorKind
+from fescueseam.flows.keys import FlowKey, compute_bucket
+from fescueseam.messages import types
+from fescueseam.packets.adapter import Packet, Phase, find_phase
+from fescueseam.placement.choice import FULL_BELIEF_S, ChooseCandidate, choose_least_utilised
+from fescueseam.placement.opening import Home, Opening, PeerLoad, Stage
+from fescueseam.routing.table import Member, MemberState
+from fescueseam.routing.view import View
+
+HOMES_LIMIT = 16384
+OPENINGS_LIMIT = 4096
+REFUSALS_LIMIT = 16384
+RESEND_S = 0.05
+"""Wait this long for an answer before the first resend; the wait doubles with each."""
+RESENDS_LIMIT = 4
+SETTLE_S = PACKET_LIFETIME_S
+"""Ask before placing for this long after becoming a bucket's recorder, in seconds."""
+UNKNOWN_S = 1.0
+"""Drop packets of a flow that no member holds for this long before asking again."""
+
+
+@define
+class Recorder:
+    """Hold homes, searches, waits and refusals; decide the next step of each."""
+
+    name: str
+    incarnation: int
+    service: str
+    view: View
+    started: float
+    choose: ChooseCandidate = choose_least_utilised
+    homes: OrderedDict[FlowKey, Home] = field(factory=OrderedDict)
+    openings: dict[FlowKey, Opening] = field(factory=dict)
+    waiting: OrderedDict[FlowKey, Opening] = field(factory=OrderedDict)
+    loads: dict[str, PeerLoad] = field(factory=dict)
+    _refused: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    _unknown: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    _since: dict[int, float] = field(factory=dict)
+    _revision: int = -1
+    _attempts: int = 0
+
+    def handle_packet(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
+        """Send a packet to its flow's home, or begin to find one."""
+        flow = packet.flow
+        home = self._find_home(flow)
+        if home is not None:
+            return [self._carry_home(home, packet, service_class)]
+        opening = self.openings.get(flow)
+        if opening is not None:
+            return self._repeat(opening, packet, now)
+        phase = find_phase(packet, service_class.transport)
+        if self._refused.get(flow, 0.0) > now:
+            return self._refuse_again(packet, service_class, phase)
+        if phase is not Phase.OPENING and self._unknown.get(flow, 0.0) > now:
+            return [Drop(ErrorKind.UNKNOWN_FLOW, service_class.name)]
+        if len(self.openings) >= OPENINGS_LIMIT:
+            return [Drop(ErrorKind.TABLE_FULL, service_class.name)]
+        return self._start(Opening(flow, service_class, packet, phase, now), now)
+
+    def handle_ask_answer(self, sender: str, answer: types.AskAnswer, now: float) -> Effects:
+        """Take a member's answer to an ask."""
+        opening = self.openings.get(answer.flow)
+        if opening is None or opening.stage is not Stage.ASKING:
+            return []
+        if answer.holds:
+            return self._settle(opening, sender, now)
+        opening.silent.discard(sender)
+        if answer.granted:
+            opening.granted.add(sender)
+        return self._judge_answers(opening, now)
+
+    def handle_placed(
+        self, sender: str, incarnation: int, body: types.Placed, now: float
+    ) -> Effects:
+        """Take it that a member has delivered an opening."""
+        self._note_load(sender, body.load, now)
+        opening = self.openings.get(body.flow)
+        if opening is not None:
+            return self._settle(opening, sender, now)
+        home = self.homes.get(body.flow)
+        if home is not None and home.member != sender:
+            # The sender was given up before it answered; the flow lives elsewhere.
+            return self._send_by_name(sender, types.Release(body.flow))
+        return []
+
+    def handle_full(self, sender: str, body: types.Full, now: float) -> Effects:
+        """Take it that a member has not delivered an opening and never will."""
+        self._note_load(sender, body.load, now)
+        self.loads[sender].full_until = now + FULL_BELIEF_S
+        opening = self.openings.get(body.flow)
+        if opening is None or opening.attempt != body.attempt:
+            return []
+        if opening.stage not in (Stage.PLACING, Stage.UNRESOLVED):
+            return []
+        opening.turned_down.add(sender)
+        return self._place_next(opening, now)
+
+    def handle_free(self, sender: str, load: types.Load, now: float) -> Effects:
+        """Offer waiting openings to a member that has room again."""
+        self._note_load(sender, load, now)
+        self.loads[sender].full_until = 0.0
+        effects: Effects = []
+        room = max(1, load.slots - load.busy)
+        for opening in list(self.waiting.values())[:room]:
+            member = self._find_candidate(opening, sender)
+            if member is not None:
+                del self.waiting[opening.flow]
+                effects += self._offer(opening, member, now)
+        return effects
+
+    def handle_not_here(self, sender: str, flow: FlowKey) -> None:
+        """Forget a home that does not hold the flow."""
+        home = self.homes.get(flow)
+        if home is not None and home.member == sender:
+            del self.homes[flow]
+
+    def tick(self, now: float) -> Effects:
+        """Resend what was not answered and end waits that are over."""
+        effects: Effects = []
+        for opening in list(self.openings.values()):
+            effects += self._advance(opening, now)
+        for known in (self._refused, self._unknown):
+            while known and next(iter(known.values())) <= now:
+                known.popitem(last=False)
+        return effects
+
+    def note_load(self, name: str, load: types.Load, now: float) -> None:
+        """Take a load heard in passing."""
+        self._note_load(name, load, now)
+
+    # Start of a search
+
+    def _start(self, opening: Opening, now: float) -> Effects:
+        marked = opening.phase is Phase.OPENING
+        opening.claim = not opening.service_class.repeatable and opening.phase in (
+            Phase.OPENING,
+            Phase.UNMARKED,
+        )
+        self.openings[opening.flow] = opening
+        if marked and not opening.claim and self._is_settled(opening.flow, now):
+            return self._place_next(opening, now)
+        return self._ask(opening, now)
+
+    def _is_settled(self, flow: FlowKey, now: float) -> bool:
+        if self._revision != self.view.revision:
+            self._update_buckets(now)
+        table = self.view.find_table(self.service)
+        if table is None:
+            return False
+        since = self._since.get(compute_bucket(flow, table.seed, table.buckets))
+        return since is not None and now >= since + SETTLE_S
+
+    def _update_buckets(self, now: float) -> None:
+        # A bucket recorded without interruption keeps its time.
+        table = self.view.find_table(self.service)
+        self._revision = self.view.revision
+        recorded: dict[int, float] = {}
+        for bucket in range(table.buckets if table else 0):
+            recorder = self.view.find_recorder(self.service, bucket)
+            if recorder is not None and recorder.name == self.name:
+                recorded[bucket] = self._since.get(bucket, now)
+        self._since = recorded
+
+    def _list_row(self, flow: FlowKey) -> tuple[Member, ...]:
+        table = self.view.find_table(self.service)
+        if table is None:
+            return ()
+        bucket = compute_bucket(flow, table.seed, table.buckets)
+        return self.view.find_row(self.service, bucket).members
+
+    def _ask(self, opening: Opening, now: float) -> Effects:
+        row = self._list_row(opening.flow)
+        opening.stage = Stage.ASKING
+        opening.asked = opening.sent = now
+        opening.majority = count_majority(len(row))
+        opening.silent = {
+            member.name
+            for member in row
+            if self.view.is_usable(member) and member.state is not MemberState.RETIRED
+        }
+        if not opening.silent:
+            return self._judge_answers(opening, now)
+        return self._send_asks(opening)
+
+    def _send_asks(self, opening: Opening) -> Effects:
+        body = types.Ask(opening.flow, opening.claim)
+        return [
+            self._send(member, body, opening.service_class)
+            for member in self._list_row(opening.flow)
+            if member.name in opening.silent
+        ]
+
+    def _judge_answers(self, opening: Opening, now: float) -> Effects:
+        if opening.claim:
+            return self._judge_grants(opening, now)
+        if opening.silent:
+            return []
+        if opening.phase in (Phase.OPENING, Phase.UNMARKED):
+            return self._place_next(opening, now)
+        return self._forget(opening, now)
+
+    def _judge_grants(self, opening: Opening, now: float) -> Effects:
+        enough = len(opening.granted) >= opening.majority
+        # An unmarked packet may belong to a flow older than any grant; only every answer rules
+        # that out.
+        complete = opening.phase is Phase.OPENING or not opening.silent
+        if enough and complete:
+            return self._place_next(opening, now)
+        if len(opening.granted) + len(opening.silent) < opening.majority:
+            return self._give_up(opening)
+        return []
+
+    # Placement
+
+    def _place_next(self, opening: Opening, now: float) -> Effects:
+        candidates = self._list_candidates(opening)
+        member = self.choose(candidates, self.loads, now)
+        if member is not None:
+            return self._offer(opening, member, now)
+        if opening.abandoned:
+            return self._end_unresolved(opening)
+        if now < opening.started + opening.service_class.wait_s:
+            opening.stage = Stage.WAITING
+            self.waiting[opening.flow] = opening
+            return []
+        return self._refuse(opening, now)
+
+    def _list_candidates(self, opening: Opening) -> list[Member]:
+        table = self.view.find_table(self.service)
+        if table is None:
+            return []
+        bucket = compute_bucket(opening.flow, table.seed, table.buckets)
+        return [
+            member
+            for member in self.view.find_row(self.service, bucket).candidates
+            if member.name not in opening.turned_down and self.view.is_usable(member)
+        ]
+
+    def _find_candidate(self, opening: Opening, name: str) -> Member | None:
+        opening.turned_down.discard(name)
+        for member in self._list_candidates(opening):
+            if member.name == name:
+                return member
+        return None
+
+    def _offer(self, opening: Opening, member: Member, now: float) -> Effects:
+        self._attempts += 1
+        opening.stage = Stage.PLACING
+        opening.attempt = self._attempts
+        opening.attempts += 1
+        opening.candidate = member.name
+        opening.sent = now
+        opening.resends = 0
+        return [self._send_place(opening, member)]
+
+    def _send_place(self, opening: Opening, member: Member) -> Send:
+        body = types.Place(opening.attempt, opening.packet.raw)
+        return self._send(member, body, opening.service_class)
+
+    def _settle(self, opening: Opening, holder: str, now: float) -> Effects:
+        self._remove(opening)
+        member = self._find_member(holder)
+        if member is None:
+            return []
+        home = Home(holder, member.incarnation)
+        self.homes[opening.flow] = home
+        self.homes.move_to_end(opening.flow)
+        if len(self.homes) > HOMES_LIMIT:
+            self.homes.popitem(last=False)
+        effects: Effects = []
+        if opening.stage is Stage.ASKING:
+            effects.append(self._carry_home(member, opening.packet, opening.service_class))
+        else:
+            name = opening.service_class.name
+            effects.append(Observe(Measure.OPENING_S, now - opening.started, name))
+            effects.append(Observe(Measure.ATTEMPTS, opening.attempts, name))
+        for packet in opening.queue:
+            effects.append(self._carry_home(member, packet, opening.service_class))
+        return effects
+
+    # Ends without a home
+
+    def _refuse(self, opening: Opening, now: float) -> Effects:
+        self._remove(opening)
+        self._remember(self._refused, opening.flow, now + PACKET_LIFETIME_S)
+        name = opening.service_class.name
+        return [
+            Observe(Measure.WAIT_S, now - opening.started, name),
+            Refuse(ErrorKind.NO_CAPACITY, opening.service_class, opening.packet),
+        ]
+
+    def _refuse_again(self, packet: Packet, service_class: ServiceClass, phase: Phase) -> Effects:
+        if phase in (Phase.OPENING, Phase.UNMARKED):
+            return [Refuse(ErrorKind.NO_CAPACITY, service_class, packet)]
+        return [Drop(ErrorKind.UNKNOWN_FLOW, service_class.name)]
+
+    def _forget(self, opening: Opening, now: float) -> Effects:
+        self._remove(opening)
+        self._remember(self._unknown, opening.flow, now + UNKNOWN_S)
+        return [Drop(ErrorKind.UNKNOWN_FLOW, opening.service_class.name)]
+
+    def _give_up(self, opening: Opening) -> Effects:
+        # Nothing was delivered under this claim, so its grants can be given back.
+        self._remove(opening)
+        body = types.Release(opening.flow)
+        effects: Effects = [
+            self._send(member, body, opening.service_class)
+            for member in self._list_row(opening.flow)
+            if member.name in opening.granted
+        ]
+        return [*effects, Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
+
+    def _end_unresolved(self, opening: Opening) -> Effects:
+        self._remove(opening)
+        return [Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
+
+    def _remove(self, opening: Opening) -> None:
+        self.openings.pop(opening.flow, None)
+        self.waiting.pop(opening.flow, None)
+
+    @staticmethod
+    def _remember(known: OrderedDict[FlowKey, float], flow: FlowKey, until: float) -> None:
+        known[flow] = until
+        known.move_to_end(flow)
+        if len(known) > REFUSALS_LIMIT:
+            known.popitem(last=False)
+
+    # Time
+
+    def _repeat(self, opening: Opening, packet: Packet, now: float) -> Effects:
+        phase = find_phase(packet, opening.service_class.transport)
+        if phase is not Phase.OPENING and packet.raw != opening.packet.raw:
+            kept = opening.keep(packet)
+            return [] if kept else [Drop(ErrorKind.TABLE_FULL, opening.service_class.name)]
+        if opening.stage is Stage.UNRESOLVED and now >= opening.sent + RESEND_S:
+            opening.sent = now
+            member = self._find_member(opening.candidate)
+            if member is not None:
+                return [self._send_place(opening, member)]
+        return [Drop(ErrorKind.DUPLICATE_OPENING, opening.service_class.name)]
+
+    def _advance(self, opening: Opening, now: float) -> Effects:
+        if opening.stage is Stage.WAITING:
+            over = now >= opening.started + opening.service_class.wait_s
+            return self._refuse(opening, now) if over else []
+        if opening.stage is Stage.UNRESOLVED:
+            over = now >= opening.started + PACKET_LIFETIME_S
+            return self._end_unresolved(opening) if over else []
+        if now < opening.sent + RESEND_S * 2**opening.resends:
+            return []
+        if opening.resends >= RESENDS_LIMIT:
+            return self._time_out(opening, now)
+        opening.resends += 1
+        if opening.stage is Stage.ASKING:
+            return self._send_asks(opening)
+        member = self._find_member(opening.candidate)
+        return [self._send_place(opening, member)] if member is not None else []
+
+    def _time_out(self, opening: Opening, now: float) -> Effects:
+        if opening.stage is Stage.ASKING:
+            return self._time_out_ask(opening, now)
+        if not opening.service_class.repeatable:
+            opening.stage = Stage.UNRESOLVED
+            return []
+        opening.abandoned = True
+        opening.turned_down.add(opening.candidate)
+        release = self._send_by_name(opening.candidate, types.Release(opening.flow))
+        return release + self._place_next(opening, now)
+
+    def _time_out_ask(self, opening: Opening, now: float) -> Effects:
+        if opening.claim:
+            return self._give_up(opening)
+        if opening.phase is Phase.ESTABLISHED or opening.phase is Phase.CLOSING:
+            return self._forget(opening, now)
+        return self._place_next(opening, now)
+
+    # Peers
+
+    def _find_home(self, flow: FlowKey) -> Member | None:
+        home = self.homes.get(flow)
+        if home is None:
+            return None
+        member = self._find_member(home.member)
+        if member is None or self.view.is_out(member.data_centre):
+            del self.homes[flow]
+            return None
+        self.homes.move_to_end(flow)
+        return member
+
+    def _find_member(self, name: str) -> Member | None:
+        table = self.view.find_table(self.service)
+        members: Iterable[Member] = table.members if table is not None else ()
+        return next((member for member in members if member.name == name), None)
+
+    def _note_load(self, name: str, load: types.Load, now: float) -> None:
+        peer = self.loads.setdefault(name, PeerLoad())
+        peer.load = load
+        peer.heard = now
+
+    def _carry_home(self, member: Member, packet: Packet, service_class: ServiceClass) -> Send:
+        return self._send(member, types.Carry(packet.raw, homed=True), service_class)
+
+    def _send_by_name(self, name: str, body: types.Body) -> Effects:
+        member = self._find_member(name)
+        return [self._send(member, body, None)] if member is not None else []
+
+    def _send(self, member: Member, body: types.Body, service_class: ServiceClass | None) -> Send:
+        table = self.view.find_table(self.service)
+        message = types.Message(
+            self.name,
+            self.incarnation,
+            body,
+            target=member.name,
+            service=self.service,
+            class_name=service_class.name if service_class is not None else "",
+            epoch=table.epoch if table is not None else 0,
+            config_version=self.view.cfg.version,
+        )
+        return Send(member.address, member.control_port, message)
--- a/packages/fescueseam/src/fescueseam/routing/table.py
+++ b/packages/fescueseam/src/fescueseam/routing/table.py
@@ -1,7 +1,6 @@
 """Hold the members of one service and compute each bucket's row."""
 
 from enum import StrEnum
-from functools import lru_cache
 
 import xxhash
 from attrs import frozen
@@ -74,7 +73,6 @@
     return xxhash.xxh3_64_intdigest(f"{member.name}/{bucket}".encode(), seed)
 
 
-@lru_cache(maxsize=65536)
 def compute_row(table: Table, bucket: int) -> Row:
     """Return the row of a bucket: ranked candidates, then earlier owners."""
     ranked = sorted(
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/routing/view.py
@@ -0,0 +1,114 @@
+"""Hold one process's view of the configuration, the tables and its peers."""
+
+import ipaddress
+
+from attrs import define, field
+
+from fescueseam.conf.models import (
+    Configuration,
+    DataCentreState,
+    EndpointRule,
+    Service,
+    ServiceClass,
+)
+from fescueseam.routing.table import Member, Row, Table, compute_row
+
+
+@define
+class View:
+    """Hold the newest known configuration and tables; older ones are ignored."""
+
+    cfg: Configuration = field(factory=Configuration)
+    suspects: frozenset[str] = frozenset()
+    leased: bool = True
+    """Tell whether peers were heard within the lease."""
+    revision: int = 0
+    """Count the changes of this view."""
+    _tables: dict[str, Table] = field(factory=dict)
+    _rows: dict[str, dict[int, Row]] = field(factory=dict)
+    _services: dict[bytes, Service] = field(factory=dict)
+    _classes: dict[str, dict[int, ServiceClass]] = field(factory=dict)
+    _out: frozenset[str] = frozenset()
+    _rules: dict[str, EndpointRule] = field(factory=dict)
+
+    def set_configuration(self, cfg: Configuration) -> bool:
+        """Take a configuration if it is newer; return whether it was."""
+        if cfg.version <= self.cfg.version:
+            return False
+        self.cfg = cfg
+        self.revision += 1
+        self._services = {
+            ipaddress.ip_address(service.address).packed: service for service in cfg.services
+        }
+        self._classes = {
+            service.name: {item.port: item for item in service.classes} for service in cfg.services
+        }
+        self._out = frozenset(
+            item.name for item in cfg.data_centres if item.state is DataCentreState.OUT
+        )
+        self._rules = {rule.name: rule for rule in cfg.endpoints}
+        return True
+
+    def set_table(self, table: Table) -> bool:
+        """Take a table if its epoch is newer; return whether it was."""
+        known = self._tables.get(table.service)
+        if known is not None and table.epoch <= known.epoch:
+            return False
+        self._tables[table.service] = table
+        self._rows[table.service] = {}
+        self.revision += 1
+        return True
+
+    def set_suspects(self, suspects: frozenset[str]) -> None:
+        """Replace the names of members that are taken for dead."""
+        if suspects != self.suspects:
+            self.suspects = suspects
+            self.revision += 1
+
+    def find_table(self, service: str) -> Table | None:
+        """Return the newest table of a service."""
+        return self._tables.get(service)
+
+    def list_tables(self) -> tuple[Table, ...]:
+        """Return the newest table of each service."""
+        return tuple(self._tables.values())
+
+    def find_service(self, address: bytes) -> Service | None:
+        """Return the service behind a packed address."""
+        return self._services.get(address)
+
+    def find_class(self, service: str, port: int) -> ServiceClass | None:
+        """Return the class of a service on a port."""
+        return self._classes.get(service, {}).get(port)
+
+    def is_out(self, data_centre: str) -> bool:
+        """Tell whether operators have taken a data centre out."""
+        return data_centre in self._out
+
+    def is_draining(self, name: str) -> bool:
+        """Tell whether operators drain a backend server."""
+        rule = self._rules.get(name)
+        return rule is not None and rule.drain
+
+    def is_usable(self, member: Member) -> bool:
+        """Tell whether packets may be sent to a member."""
+        return member.data_centre not in self._out and member.name not in self.suspects
+
+    def find_row(self, service: str, bucket: int) -> Row:
+        """Return the row of a bucket; it is empty for an unknown service."""
+        table = self._tables.get(service)
+        if table is None:
+            return Row((), ())
+        rows = self._rows[service]
+        row = rows.get(bucket)
+        if row is None:
+            row = rows[bucket] = compute_row(table, bucket)
+        return row
+
+    def find_recorder(self, service: str, bucket: int) -> Member | None:
+        """Return the first usable member of a row; owners serve when no candidate is left."""
+        row = self.find_row(service, bucket)
+        for member in row.members:
+            if self.is_usable(member):
+                return member
+        return None
