Add the platform stand-in with versions, watches and faults

The daemons need an object API that fails on demand. Its state is a plain class, so that scenarios use it without a socket. A lost reply is shown as a connection that closes before the announced body: an ASGI application cannot answer nothing at all.

--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/platform.py
@@ -0,0 +1,206 @@
+"""Serve the platform's object API over HTTP, with faults on demand."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import trio
+import typer
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from .platform_state import (
+    MAX_VALUE_BYTES,
+    Changes,
+    JsonValue,
+    LostReplyError,
+    OutageError,
+    PlatformState,
+    VersionConflictError,
+    describe,
+)
+from .running import run_until_stopped, serve_http
+
+MAX_WATCH_S = 300.0
+DROP_HEADER = "x-drop-connection"
+_DROP_HEADER_BYTES = DROP_HEADER.encode()
+
+
+class PlatformServer:
+    """Hold the state and wake the watches that wait for it."""
+
+    def __init__(self, state: PlatformState) -> None:
+        self.state = state
+        self._changed = trio.Event()
+
+    async def read(self, key: str) -> Response:
+        """Answer one object."""
+        stored = self.state.read(key)
+        if stored is None:
+            return answer(404, {"key": key})
+        return answer(200, describe(stored))
+
+    async def list_objects(self) -> Response:
+        """Answer every object under a prefix."""
+        stored = self.state.list_objects(request.args.get("prefix", ""))
+        objects: list[JsonValue] = [describe(item) for item in stored]
+        return answer(200, {"revision": self.state.revision, "objects": objects})
+
+    async def write(self, key: str) -> Response:
+        """Replace one object on condition of its version."""
+        expected = read_expected_version()
+        body = await request.get_data()
+        if len(body) > MAX_VALUE_BYTES:
+            return answer(413, {"key": key, "limit": MAX_VALUE_BYTES})
+        try:
+            value = json.loads(body)
+        except ValueError:
+            return answer(400, {"key": key})
+        if expected is None:
+            return answer(428, {"key": key})
+        return self._change(key, lambda: self.state.write(key, expected, value))
+
+    async def delete(self, key: str) -> Response:
+        """Delete one object on condition of its version."""
+        expected = read_expected_version()
+        if expected is None:
+            return answer(428, {"key": key})
+        return self._change(key, lambda: self.state.delete(key, expected))
+
+    async def watch(self) -> Response:
+        """Answer changes under a prefix as soon as there are any."""
+        prefix = request.args.get("prefix", "")
+        after = int(request.args.get("after", "0"))
+        timeout_s = min(float(request.args.get("timeout_s", "30")), MAX_WATCH_S)
+        self.state.begin_watch()
+        changes = self.state.find_changes(prefix, after)
+        with trio.move_on_after(timeout_s):
+            while not changes.objects and not changes.deleted:
+                await self._changed.wait()
+                self._check_outage()
+                changes = self.state.find_changes(prefix, after)
+        return answer(200, describe_changes(changes))
+
+    async def set_faults(self) -> Response:
+        """Change the fault switches that are named; leave the others."""
+        body = json.loads(await request.get_data() or b"{}")
+        try:
+            self.state.faults = attrs.evolve(self.state.faults, **body)
+        except TypeError as exc:
+            return answer(400, {"error": str(exc)})
+        self._wake_watches()
+        return answer(200, describe(self.state.faults))
+
+    async def count_calls(self) -> Response:
+        """Answer the count of calls."""
+        return answer(200, describe(self.state.calls))
+
+    def _change(self, key: str, change: Callable[[], int]) -> Response:
+        try:
+            version = change()
+        except VersionConflictError as exc:
+            return answer(412, {"key": key, "version": exc.version})
+        finally:
+            self._wake_watches()
+        return answer(200, {"key": key, "version": version})
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _check_outage(self) -> None:
+        if self.state.faults.outage or self.state.faults.drop_connections:
+            raise OutageError("the platform went away")
+
+
+def build_app(server: PlatformServer) -> Callable[..., Awaitable[None]]:
+    """Return the ASGI application of the object API."""
+    app = QuartTrio(__name__)
+    app.config["MAX_CONTENT_LENGTH"] = 2 * MAX_VALUE_BYTES
+    routes: tuple[tuple[str, str, Callable[..., Awaitable[Response]]], ...] = (
+        ("GET", "/objects/<path:key>", server.read),
+        ("GET", "/objects", server.list_objects),
+        ("PUT", "/objects/<path:key>", server.write),
+        ("DELETE", "/objects/<path:key>", server.delete),
+        ("GET", "/watch", server.watch),
+    )
+    for method, rule, handler in routes:
+        app.add_url_rule(rule, f"{method} {rule}", _with_faults(server, handler), methods=[method])
+    app.add_url_rule("/faults", "set_faults", server.set_faults, methods=["POST"])
+    app.add_url_rule("/calls", "count_calls", server.count_calls, methods=["GET"])
+    return _drop_on_demand(app)
+
+
+def answer(status: int, body: dict[str, JsonValue]) -> Response:
+    """Return a JSON answer."""
+    return Response(json.dumps(body), status=status, content_type="application/json")
+
+
+def describe_changes(changes: Changes) -> dict[str, JsonValue]:
+    """Return the answer to a watch."""
+    return {
+        "revision": changes.revision,
+        "objects": [describe(stored) for stored in changes.objects],
+        "deleted": list(changes.deleted),
+    }
+
+
+def read_expected_version() -> int | None:
+    """Return the version that the request makes its condition."""
+    text = request.headers.get("If-Match", "").strip().strip('"')
+    return int(text) if text.isdigit() else None
+
+
+def _with_faults(
+    server: PlatformServer, handler: Callable[..., Awaitable[Response]]
+) -> Callable[..., Awaitable[Response]]:
+    async def handle(**arguments: str) -> Response:
+        faults = server.state.faults
+        if faults.delay_s > 0:
+            await trio.sleep(faults.delay_s)
+        try:
+            return await handler(**arguments)
+        except LostReplyError:
+            return _drop()
+        except OutageError:
+            if server.state.faults.drop_connections:
+                return _drop()
+            return answer(503, {"error": "the platform is away"})
+
+    return handle
+
+
+def _drop() -> Response:
+    return Response(b"", status=503, headers={DROP_HEADER: "1"})
+
+
+def _drop_on_demand(app: Any) -> Callable[..., Awaitable[None]]:
+    # The server closes a connection whose announced body never comes, which is as near to no
+    # answer as an ASGI application can get.
+    async def run(scope: Any, receive: Any, send: Any) -> None:
+        dropped = False
+
+        async def pass_on(message: Any) -> None:
+            nonlocal dropped
+            names = [name for name, _ in message.get("headers", ())]
+            if _DROP_HEADER_BYTES in names:
+                dropped = True
+                headers = [(b"content-length", b"1")]
+                await send({"type": "http.response.start", "status": 503, "headers": headers})
+            elif not dropped:
+                await send(message)
+
+        await app(scope, receive, pass_on)
+
+    return run
+
+
+def main(address: str = "127.0.0.1", port: int = 7000) -> None:
+    """Serve the object API until SIGTERM."""
+    app = build_app(PlatformServer(PlatformState()))
+    run_until_stopped(lambda: serve_http(app, address, port))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/running.py
@@ -0,0 +1,63 @@
+"""Run a stand-in until it is told to stop, and serve its HTTP endpoints."""
+
+import logging
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+GRACEFUL_TIMEOUT_S = 0.2
+KEEP_ALIVE_TIMEOUT_S = 60.0
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+MAX_DATAGRAM_BYTES = 65535
+
+
+def run_until_stopped(work: Callable[[], Awaitable[None]]) -> None:
+    """Run a stand-in until its work ends or SIGTERM or SIGINT arrives."""
+    logging.basicConfig(level=logging.WARNING)
+    trio.run(_run_until_stopped, work)
+
+
+async def _run_until_stopped(work: Callable[[], Awaitable[None]]) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def stop_on_signal() -> None:
+                async for _ in signals:
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(stop_on_signal)
+            await work()
+            nursery.cancel_scope.cancel()
+
+
+async def serve_http(
+    app: Any, address: str, port: int, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Serve an ASGI application over plain HTTP until cancelled; report its URL when it listens."""
+    cfg = Config()
+    cfg.bind = [f"{address}:{port}"]
+    cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
+    cfg.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    cfg.accesslog = None
+    cfg.loglevel = "WARNING"
+    async with trio.open_nursery() as nursery:
+        urls = await nursery.start(serve, app, cfg)
+        task_status.started(urls[0])
+
+
+async def open_udp_socket(address: str, port: int) -> trio.socket.SocketType:
+    """Return a UDP socket that is bound and has a large receive buffer."""
+    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    await sock.bind((address, port))
+    return sock
+
+
+def parse_endpoint(text: str) -> tuple[str, int]:
+    """Split "address:port" into its parts."""
+    address, _, port = text.rpartition(":")
+    return address.strip("[]"), int(port)
