--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Check settings and list every fault at once."""
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/checks/configuration.py
@@ -0,0 +1,192 @@
+"""Check the operators' configuration."""
+
+import ipaddress
+from collections.abc import Iterator
+
+from fescueseam.checks.faults import Fault, FaultId
+from fescueseam.checks.registry import register
+from fescueseam.checks.values import (
+    check_address,
+    check_name,
+    check_port,
+    check_range,
+    check_unique,
+)
+from fescueseam.conf.models import (
+    AdmissionRules,
+    Configuration,
+    DataCentreState,
+    FlowKind,
+    Service,
+    ServiceClass,
+    Transport,
+)
+
+MAX_SLOTS = 4096
+MAX_CONNECTIONS = 1_000_000
+MAX_WARM_UP_SUCCESSES = 10_000
+MAX_WARM_UP_S = 3600.0
+MIN_OPENING_DEADLINE_S = 0.05
+MAX_OPENING_DEADLINE_S = 60.0
+MIN_IDLE_TIMEOUT_S = 1.0
+MAX_IDLE_TIMEOUT_S = 86_400.0
+
+
+@register(Configuration)
+def check_names(cfg: Configuration) -> Iterator[Fault]:
+    """Report names that are malformed or used twice."""
+    named = {
+        "services": [service.name for service in cfg.services],
+        "data_centres": [data_centre.name for data_centre in cfg.data_centres],
+        "endpoints": [rule.name for rule in cfg.endpoints],
+    }
+    for service in cfg.services:
+        key = f"services[{service.name}].classes"
+        named[key] = [service_class.name for service_class in service.classes]
+    for key, names in named.items():
+        for name in names:
+            yield from check_name(f"{key}[{name}].name", name)
+        yield from check_unique(
+            [(f"{key}[{index}].name", name) for index, name in enumerate(names)], "name"
+        )
+    for data_centre in cfg.data_centres:
+        path = f"data_centres[{data_centre.name}].region"
+        yield from check_name(path, data_centre.region)
+
+
+@register(Configuration)
+def check_addresses(cfg: Configuration) -> Iterator[Fault]:
+    """Report addresses of services that are malformed or used twice."""
+    addresses = []
+    for service in cfg.services:
+        path = f"services[{service.name}].address"
+        faults = list(check_address(path, service.address))
+        yield from faults
+        if not faults:
+            addresses.append((path, ipaddress.ip_address(service.address)))
+    yield from check_unique(addresses, "address")
+
+
+@register(Configuration)
+def check_classes(cfg: Configuration) -> Iterator[Fault]:
+    """Report services without classes and classes that no packet could tell apart."""
+    for service in cfg.services:
+        path = f"services[{service.name}].classes"
+        if not service.classes:
+            message = f"{service.name!r} has no class, so it takes no flow"
+            yield Fault(FaultId.NO_CLASSES, path, message, "state a class with a port")
+        ports = []
+        for service_class in service.classes:
+            class_path = f"{path}[{service_class.name}]"
+            yield from check_port(f"{class_path}.port", service_class.port)
+            yield from _check_times(class_path, service_class)
+            yield from _check_repeatable(class_path, service_class)
+            # QUIC and other UDP flows share the port numbers of UDP.
+            protocol = "tcp" if service_class.transport is Transport.TCP else "udp"
+            ports.append((f"{class_path}.port", f"{protocol}/{service_class.port}"))
+        yield from check_unique(ports, "port")
+
+
+@register(Configuration)
+def check_admission(cfg: Configuration) -> Iterator[Fault]:
+    """Report bounds that no backend server could be held to."""
+    for service in cfg.services:
+        yield from _check_rules(f"services[{service.name}].admission", service.admission)
+
+
+@register(Configuration)
+def check_service_needs(cfg: Configuration) -> Iterator[Fault]:
+    """Report services with classes of a kind that their bounds exclude."""
+    for service in cfg.services:
+        yield from _check_bound_for_kind(service)
+
+
+@register(Configuration)
+def check_data_centres(cfg: Configuration) -> Iterator[Fault]:
+    """Report a configuration without any data centre in service."""
+    states = [data_centre.state for data_centre in cfg.data_centres]
+    if not states:
+        message = "no data centre is named"
+        yield Fault(FaultId.MISSING_KEY, "data_centres", message, "name one at least")
+    elif DataCentreState.IN not in states:
+        yield Fault(FaultId.ALL_OUT, "data_centres", "every data centre is out of service")
+
+
+@register(Configuration)
+def check_sites(cfg: Configuration) -> Iterator[Fault]:
+    """Report differences of sites that name what is not there."""
+    data_centres = {data_centre.name for data_centre in cfg.data_centres}
+    services = {service.name for service in cfg.services}
+    for site in cfg.sites:
+        path = f"sites[{site.data_centre}/{site.service}]"
+        if site.data_centre not in data_centres:
+            message = f"there is no data centre {site.data_centre!r}"
+            yield Fault(FaultId.UNKNOWN_DATA_CENTRE, path, message)
+        if site.service not in services:
+            yield Fault(FaultId.UNKNOWN_SERVICE, path, f"there is no service {site.service!r}")
+        yield from _check_rules(f"{path}.admission", site.admission)
+
+
+def _check_rules(path: str, rules: AdmissionRules) -> Iterator[Fault]:
+    yield from check_range(f"{path}.slots", rules.slots, 0, MAX_SLOTS)
+    yield from check_range(f"{path}.connections", rules.connections, 0, MAX_CONNECTIONS)
+    yield from check_range(f"{path}.cold_slots", rules.cold_slots, 1, MAX_SLOTS)
+    yield from check_range(f"{path}.cold_connections", rules.cold_connections, 0, MAX_CONNECTIONS)
+    successes = rules.warm_up_successes
+    yield from check_range(f"{path}.warm_up_successes", successes, 1, MAX_WARM_UP_SUCCESSES)
+    yield from check_range(f"{path}.warm_up_s", rules.warm_up_s, 0, MAX_WARM_UP_S)
+    # A service without slots has no use for its bound in a cold start.
+    pairs = (
+        ("cold_slots", rules.cold_slots, max(rules.slots, 1)),
+        ("cold_connections", rules.cold_connections, rules.connections),
+    )
+    for name, cold, full in pairs:
+        if cold > full:
+            message = f"{cold} in a cold start exceeds the full bound of {full}"
+            yield Fault(FaultId.COLD_ABOVE_WARM, f"{path}.{name}", message, f"at most {full}")
+
+
+def _check_bound_for_kind(service: Service) -> Iterator[Fault]:
+    kinds = {service_class.kind for service_class in service.classes}
+    rules = service.admission
+    pairs = (
+        (FlowKind.REQUEST, "slots", rules.slots),
+        (FlowKind.STREAM, "connections", rules.connections),
+    )
+    for kind, name, bound in pairs:
+        if kind in kinds and bound == 0:
+            path = f"services[{service.name}].admission.{name}"
+            message = f"0 admits no {kind}, and the service has a class of that kind"
+            yield Fault(FaultId.OUT_OF_RANGE, path, message, "1 at least")
+
+
+def _check_times(path: str, service_class: ServiceClass) -> Iterator[Fault]:
+    deadline_s = service_class.opening_deadline_s
+    wait_s = service_class.wait_s
+    idle_s = service_class.idle_timeout_s
+    yield from check_range(
+        f"{path}.opening_deadline_s", deadline_s, MIN_OPENING_DEADLINE_S, MAX_OPENING_DEADLINE_S
+    )
+    yield from check_range(f"{path}.idle_timeout_s", idle_s, MIN_IDLE_TIMEOUT_S, MAX_IDLE_TIMEOUT_S)
+    yield from check_range(f"{path}.wait_s", wait_s, 0, MAX_OPENING_DEADLINE_S)
+    if wait_s >= deadline_s:
+        message = f"a wait of {wait_s:g} s leaves no time in the deadline of {deadline_s:g} s"
+        hint = "make it shorter than opening_deadline_s"
+        yield Fault(FaultId.WAIT_ABOVE_DEADLINE, f"{path}.wait_s", message, hint)
+    if idle_s < deadline_s:
+        message = f"{idle_s:g} s is shorter than the opening deadline of {deadline_s:g} s"
+        hint = "a flow could be forgotten while its opening still waits"
+        yield Fault(FaultId.SHORT_IDLE_TIMEOUT, f"{path}.idle_timeout_s", message, hint)
+
+
+def _check_repeatable(path: str, service_class: ServiceClass) -> Iterator[Fault]:
+    if service_class.repeatable:
+        return
+    if service_class.kind is FlowKind.STREAM:
+        message = "a stream is claimed before delivery only to run at most once"
+        hint = "streams are usually repeatable; each claim costs a round trip"
+        yield Fault(FaultId.NOT_REPEATABLE_STREAM, f"{path}.repeatable", message, hint)
+    if service_class.transport is Transport.UDP:
+        message = "plain UDP does not mark openings, so a packet later than the idle timeout opens"
+        hint = "use QUIC or TCP, or an idle timeout longer than any packet's life"
+        yield Fault(FaultId.NOT_REPEATABLE_UDP, f"{path}.repeatable", message, hint)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/checks/faults.py
@@ -0,0 +1,111 @@
+"""Define what a check reports."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class FaultLevel(StrEnum):
+    """Tell whether a fault forbids the settings."""
+
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class FaultId(StrEnum):
+    """List every fault that a check can report."""
+
+    BAD_JSON = "fescueseam.E001"
+    UNKNOWN_KEY = "fescueseam.E002"
+    MISSING_KEY = "fescueseam.E003"
+    WRONG_TYPE = "fescueseam.E004"
+    UNKNOWN_CHOICE = "fescueseam.E005"
+    DUPLICATE_NAME = "fescueseam.E006"
+    NOTHING_TO_REMOVE = "fescueseam.E007"
+    NOT_SITE_SPECIFIC = "fescueseam.E008"
+    SITE_CONFLICT = "fescueseam.E009"
+    BAD_NAME = "fescueseam.E010"
+    BAD_ADDRESS = "fescueseam.E011"
+    BAD_PORT = "fescueseam.E012"
+    DUPLICATE_ADDRESS = "fescueseam.E013"
+    DUPLICATE_PORT = "fescueseam.E014"
+    UNKNOWN_DATA_CENTRE = "fescueseam.E015"
+    UNKNOWN_SERVICE = "fescueseam.E016"
+    OUT_OF_RANGE = "fescueseam.E017"
+    COLD_ABOVE_WARM = "fescueseam.E018"
+    WAIT_ABOVE_DEADLINE = "fescueseam.E019"
+    NO_CLASSES = "fescueseam.E020"
+    BAD_URL = "fescueseam.E021"
+    BAD_KEY = "fescueseam.E022"
+    MISSING_FOR_ROLE = "fescueseam.E023"
+    SELF_SEED = "fescueseam.E024"
+    ALL_OUT = "fescueseam.W001"
+    SHORT_IDLE_TIMEOUT = "fescueseam.W002"
+    NOT_REPEATABLE_STREAM = "fescueseam.W003"
+    NOT_REPEATABLE_UDP = "fescueseam.W004"
+    UNUSED_FOR_ROLE = "fescueseam.W005"
+
+    @property
+    def level(self) -> FaultLevel:
+        """Return the level that the letter of the id stands for."""
+        return FaultLevel.WARNING if ".W" in self.value else FaultLevel.ERROR
+
+
+SUMMARIES: dict[FaultId, str] = {
+    FaultId.BAD_JSON: "The file is not valid JSON.",
+    FaultId.UNKNOWN_KEY: "No setting has this key.",
+    FaultId.MISSING_KEY: "A required setting is missing.",
+    FaultId.WRONG_TYPE: "The value has the wrong type.",
+    FaultId.UNKNOWN_CHOICE: "The value is not one of the choices.",
+    FaultId.DUPLICATE_NAME: "A name is used twice in one list.",
+    FaultId.NOTHING_TO_REMOVE: "An overlay removes what its base does not have.",
+    FaultId.NOT_SITE_SPECIFIC: "The setting is the same at every site.",
+    FaultId.SITE_CONFLICT: "Two sites state different rules for one backend server.",
+    FaultId.BAD_NAME: "A name has other characters than a-z, 0-9 and '-'.",
+    FaultId.BAD_ADDRESS: "The value is not an IP address.",
+    FaultId.BAD_PORT: "The value is not a port number.",
+    FaultId.DUPLICATE_ADDRESS: "Two services have one address.",
+    FaultId.DUPLICATE_PORT: "A port is used twice.",
+    FaultId.UNKNOWN_DATA_CENTRE: "No data centre has this name.",
+    FaultId.UNKNOWN_SERVICE: "No service has this name.",
+    FaultId.OUT_OF_RANGE: "The value is outside its range.",
+    FaultId.COLD_ABOVE_WARM: "The bound in a cold start exceeds the full bound.",
+    FaultId.WAIT_ABOVE_DEADLINE: "The wait is not shorter than the opening deadline.",
+    FaultId.NO_CLASSES: "The service has no class, so it takes no flow.",
+    FaultId.BAD_URL: "The value is not an HTTP URL.",
+    FaultId.BAD_KEY: "The key is too short or its id is used twice.",
+    FaultId.MISSING_FOR_ROLE: "The role needs a setting that is missing.",
+    FaultId.SELF_SEED: "A seed is not 'address:port' or names the process itself.",
+    FaultId.ALL_OUT: "Every data centre is out.",
+    FaultId.SHORT_IDLE_TIMEOUT: "The idle timeout is shorter than the opening deadline.",
+    FaultId.NOT_REPEATABLE_STREAM: "A stream is marked as not repeatable.",
+    FaultId.NOT_REPEATABLE_UDP: "Plain UDP does not mark openings.",
+    FaultId.UNUSED_FOR_ROLE: "The role does not use the setting.",
+}
+
+
+@frozen
+class Fault:
+    """Report one fault and its place."""
+
+    id: FaultId
+    path: str
+    """Locate the value, as in services[bitacora].classes[alerts].port."""
+    message: str
+    hint: str = ""
+    file: str = ""
+
+    @property
+    def level(self) -> FaultLevel:
+        """Return the level of the fault."""
+        return self.id.level
+
+    def __str__(self) -> str:
+        place = f"{self.file}: {self.path}" if self.path else self.file
+        hint = f" ({self.hint})" if self.hint else ""
+        return f"{self.id} {place}: {self.message}{hint}"
+
+
+def has_errors(faults: tuple[Fault, ...]) -> bool:
+    """Tell whether any fault forbids the settings."""
+    return any(fault.level is FaultLevel.ERROR for fault in faults)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/checks/process.py
@@ -0,0 +1,116 @@
+"""Check the settings of one process."""
+
+from collections.abc import Iterator
+
+from fescueseam.checks.faults import Fault, FaultId
+from fescueseam.checks.registry import register
+from fescueseam.checks.values import (
+    check_address,
+    check_name,
+    check_port,
+    check_range,
+    check_unique,
+    check_url,
+)
+from fescueseam.conf.models import ProcessSettings, Role
+
+MIN_SECRET_LENGTH = 32
+MAX_KEY_ID = 255
+MAX_DRAIN_TIMEOUT_S = 86_400.0
+LOG_FORMATS = ("json", "text")
+
+
+@register(ProcessSettings)
+def check_identity(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report a malformed name, data centre, region or address."""
+    for key in ("name", "data_centre", "region"):
+        yield from check_name(key, getattr(settings, key))
+    yield from check_address("address", settings.address)
+    yield from check_url("store_url", settings.store_url)
+
+
+@register(ProcessSettings)
+def check_ports(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report ports that are malformed or bound twice by the process."""
+    yield from check_port("control_port", settings.control_port)
+    yield from check_port("metrics_port", settings.metrics_port)
+    yield from check_port("packet_port", settings.packet_port)
+    yield from check_port("fabric_port", settings.fabric_port)
+    if settings.role is Role.BALANCER:
+        bound = [
+            ("control_port", settings.control_port),
+            ("packet_port", settings.packet_port),
+        ]
+        yield from check_unique(bound, "port")
+
+
+@register(ProcessSettings)
+def check_keys(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report missing, short and repeated keys without showing a secret."""
+    if not settings.keys:
+        hint = "state one; the first signs"
+        yield Fault(FaultId.BAD_KEY, "keys", "no key is stated", hint)
+    seen: set[int] = set()
+    for index, key in enumerate(settings.keys):
+        path = f"keys[{index}]"
+        yield from check_range(f"{path}.key_id", key.key_id, 0, MAX_KEY_ID)
+        if key.key_id in seen:
+            yield Fault(FaultId.BAD_KEY, f"{path}.key_id", f"the id {key.key_id} is used twice")
+        seen.add(key.key_id)
+        if len(key.secret) < MIN_SECRET_LENGTH:
+            message = f"the secret has {len(key.secret)} characters"
+            hint = f"use {MIN_SECRET_LENGTH} at least"
+            yield Fault(FaultId.BAD_KEY, f"{path}.secret", message, hint)
+
+
+@register(ProcessSettings)
+def check_role(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report settings that the role lacks or does not use."""
+    if settings.role is Role.BALANCER:
+        if settings.backend is not None:
+            yield Fault(FaultId.UNUSED_FOR_ROLE, "backend", "a balancer has no backend server")
+        if settings.service:
+            yield Fault(FaultId.UNUSED_FOR_ROLE, "service", "a balancer serves every service")
+        return
+    if not settings.service:
+        yield Fault(FaultId.MISSING_FOR_ROLE, "service", "an agent needs its service")
+    else:
+        yield from check_name("service", settings.service)
+    if not settings.fabric_address:
+        message = "an agent needs the address that takes answers"
+        yield Fault(FaultId.MISSING_FOR_ROLE, "fabric_address", message)
+    else:
+        yield from check_address("fabric_address", settings.fabric_address)
+    if settings.backend is None:
+        yield Fault(FaultId.MISSING_FOR_ROLE, "backend", "an agent needs its backend server")
+        return
+    yield from check_address("backend.address", settings.backend.address)
+    yield from check_url("backend.load_url", settings.backend.load_url)
+    yield from check_port("backend.decapsulation_port", settings.backend.decapsulation_port)
+
+
+@register(ProcessSettings)
+def check_seeds(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report peers that cannot be asked."""
+    for index, seed in enumerate(settings.seeds):
+        path = f"seeds[{index}]"
+        address, _, port = seed.rpartition(":")
+        if not port.isascii() or not port.isdigit():
+            message = f"{seed!r} has no port"
+            yield Fault(FaultId.SELF_SEED, path, message, "write address:port")
+            continue
+        yield from check_address(path, address.strip("[]"))
+        yield from check_port(path, int(port))
+        if seed == f"{settings.address}:{settings.control_port}":
+            yield Fault(FaultId.SELF_SEED, path, f"{seed} is the process itself")
+
+
+@register(ProcessSettings)
+def check_rest(settings: ProcessSettings) -> Iterator[Fault]:
+    """Report times and choices outside their range."""
+    drain_s = settings.drain_timeout_s
+    yield from check_range("drain_timeout_s", drain_s, 0, MAX_DRAIN_TIMEOUT_S)
+    if settings.log_format not in LOG_FORMATS:
+        hint = "one of " + ", ".join(LOG_FORMATS)
+        message = f"{settings.log_format!r} is not a choice"
+        yield Fault(FaultId.UNKNOWN_CHOICE, "log_format", message, hint)
--- a/packages/fescueseam/src/fescueseam/conf/models.py
+++ b/packages/fescueseam/src/fescueseam/conf/models.py
@@ -90,6 +90,15 @@
     drain: bool = False
 
 
+@frozen
+class SiteAdmission:
+    """Replace the admission rules of one service in one data centre."""
+
+    data_centre: str
+    service: str
+    admission: AdmissionRules
+
+
 @frozen
 class Configuration:
     """Hold everything that operators have accepted, at one version."""
@@ -98,6 +107,8 @@
     services: tuple[Service, ...] = ()
     data_centres: tuple[DataCentre, ...] = ()
     endpoints: tuple[EndpointRule, ...] = ()
+    sites: tuple[SiteAdmission, ...] = ()
+    """List what differs by data centre; the overlays of the sites fill it."""
 
 
 class Role(StrEnum):
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/conf/structuring.py
@@ -0,0 +1,248 @@
+"""Turn JSON values into the attrs classes of the settings and back."""
+
+import difflib
+import types
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, TypeVar, Union, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+
+from fescueseam.checks.faults import Fault, FaultId
+from fescueseam.conf.documents import NAME_KEY, Document, JsonObject, JsonValue, join_key
+
+Settings = TypeVar("Settings")
+Step = str | int
+
+MAX_REPAIRS = 3
+"""Structure again this often after faulty values were set aside."""
+
+PRIMITIVES: dict[type, tuple[str, tuple[type, ...]]] = {
+    bool: ("true or false", (bool,)),
+    int: ("a whole number", (int,)),
+    float: ("a number", (int, float)),
+    str: ("a string", (str,)),
+}
+"""Map each plain type to its wording and the JSON types it accepts."""
+
+SECRET_KEY = "secret"
+"""Never show the value of this key."""
+
+PLACEHOLDER_NAME = "unnamed"
+
+
+def make_converter(*, strict: bool) -> cattrs.Converter:
+    """Make a converter that refuses values of another JSON type; strict refuses unknown keys."""
+    converter = cattrs.Converter(forbid_extra_keys=strict)
+    for kind, (wanted, allowed) in PRIMITIVES.items():
+        converter.register_structure_hook(kind, _make_type_hook(wanted, *allowed))
+    converter.register_structure_hook(StrEnum, _structure_enum)
+    converter.register_structure_hook_factory(_is_tuple, _make_tuple_hook_factory(converter))
+    converter.register_structure_hook_factory(attrs.has, _make_class_hook_factory(converter))
+    return converter
+
+
+def structure_document(document: Document, settings_type: type[Settings]) -> Settings | None:
+    """Structure a document; add every fault to it and return what could be read."""
+    converter = make_converter(strict=True)
+    value = _copy(document.value)
+    for _ in range(MAX_REPAIRS):
+        try:
+            return converter.structure(value, settings_type)
+        except ClassValidationError as exc:
+            for fault, steps, replacement in _walk(exc, value, (), settings_type):
+                file = document.find_file(fault.path)
+                document.faults.append(attrs.evolve(fault, file=file))
+                _replace(value, steps, replacement)
+    return None
+
+
+class _Absent:
+    """Mark a value that is dropped."""
+
+
+_Found = tuple[Fault, tuple[Step, ...], Any]
+
+
+def _make_type_hook(wanted: str, *allowed: type) -> Callable[[Any, Any], Any]:
+    def structure(value: Any, _: Any) -> Any:
+        if isinstance(value, bool) and bool not in allowed:
+            raise TypeError(f"{value!r} is not {wanted}")
+        if not isinstance(value, allowed):
+            raise TypeError(f"{value!r} is not {wanted}")
+        result: Any = value
+        return float(result) if float in allowed else result
+
+    return structure
+
+
+def _is_enum(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, StrEnum)
+
+
+def _structure_enum(value: Any, kind: type[StrEnum]) -> StrEnum:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a string")
+    return kind(value)
+
+
+def _is_tuple(kind: Any) -> bool:
+    return get_origin(kind) is tuple
+
+
+def _make_tuple_hook_factory(converter: cattrs.Converter) -> Callable[[Any], Any]:
+    def make_hook(kind: Any) -> Callable[[Any, Any], Any]:
+        structure_list = converter.get_structure_hook(list[get_args(kind)[0]])  # type: ignore[misc]
+
+        def structure(value: Any, _: Any) -> Any:
+            if not isinstance(value, list):
+                raise TypeError(f"{value!r} is not a list")
+            return tuple(structure_list(value, list))
+
+        return structure
+
+    return make_hook
+
+
+def _make_class_hook_factory(converter: cattrs.Converter) -> Callable[[Any], Any]:
+    def make_hook(kind: Any) -> Callable[[Any, Any], Any]:
+        structure_object = cattrs.gen.make_dict_structure_fn(
+            kind, converter, _cattrs_forbid_extra_keys=converter.forbid_extra_keys
+        )
+
+        def structure(value: Any, _: Any) -> Any:
+            if not isinstance(value, dict):
+                raise TypeError(f"{value!r} is not an object")
+            return structure_object(value, kind)
+
+        return structure
+
+    return make_hook
+
+
+def _walk(exc: BaseException, root: JsonValue, steps: tuple[Step, ...], kind: Any) -> list[_Found]:
+    if isinstance(exc, ClassValidationError):
+        return _walk_class(exc, root, steps)
+    if isinstance(exc, IterableValidationError):
+        found: list[_Found] = []
+        for inner, note in exc.group_exceptions()[0]:
+            found += _walk(inner, root, (*steps, note.index), note.type)
+        return found
+    path = render_path(root, steps)
+    if isinstance(exc, KeyError):
+        fault = Fault(FaultId.MISSING_KEY, path, "the setting is required")
+    elif _is_enum(kind) and isinstance(exc, ValueError):
+        choices = [str(choice) for choice in kind]
+        shown = repr(_find(root, steps))
+        fault = Fault(
+            FaultId.UNKNOWN_CHOICE, path, f"{shown} is not a choice", "one of " + ", ".join(choices)
+        )
+    else:
+        message = "the value has the wrong type" if SECRET_KEY in steps else str(exc)
+        fault = Fault(FaultId.WRONG_TYPE, path, message)
+    return [(fault, steps, _make_placeholder(kind))]
+
+
+def _walk_class(
+    exc: ClassValidationError, root: JsonValue, steps: tuple[Step, ...]
+) -> list[_Found]:
+    found: list[_Found] = []
+    known, unknown = exc.group_exceptions()
+    for inner, note in known:
+        field = attrs.fields_dict(attrs.resolve_types(exc.cl))[note.name]
+        below = _walk(inner, root, (*steps, note.name), note.type)
+        if field.default is not attrs.NOTHING:
+            below = [
+                (fault, where, _Absent if where == (*steps, note.name) else value)
+                for fault, where, value in below
+            ]
+        found += below
+    for other in unknown:
+        if isinstance(other, ForbiddenExtraKeysError):
+            names = [field.name for field in attrs.fields(exc.cl)]
+            for key in sorted(other.extra_fields):
+                path = join_key(render_path(root, steps), key)
+                hint = suggest(key, names)
+                fault = Fault(FaultId.UNKNOWN_KEY, path, f"there is no setting {key!r}", hint)
+                found.append((fault, (*steps, key), _Absent))
+    return found
+
+
+def suggest(word: str, known: list[str]) -> str:
+    """Return a hint that names the nearest known word."""
+    nearest = difflib.get_close_matches(word, known, n=1, cutoff=0.5)
+    return f"did you mean {nearest[0]!r}?" if nearest else "one of " + ", ".join(sorted(known))
+
+
+def render_path(root: JsonValue, steps: tuple[Step, ...]) -> str:
+    """Return the path of a value, with names in place of indices where there are names."""
+    path = ""
+    value = root
+    for step in steps:
+        value = _get(value, step)
+        if isinstance(step, str):
+            path = join_key(path, step)
+            continue
+        name = value.get(NAME_KEY) if isinstance(value, dict) else None
+        path = f"{path}[{name if isinstance(name, str) and name else step}]"
+    return path
+
+
+def _get(value: JsonValue, step: Step) -> JsonValue:
+    if isinstance(value, dict) and isinstance(step, str):
+        return value.get(step)
+    if isinstance(value, list) and isinstance(step, int) and step < len(value):
+        return value[step]
+    return None
+
+
+def _find(value: JsonValue, steps: tuple[Step, ...]) -> JsonValue:
+    for step in steps:
+        value = _get(value, step)
+    return value
+
+
+def _replace(root: JsonValue, steps: tuple[Step, ...], replacement: Any) -> None:
+    if not steps:
+        return
+    parent = _find(root, steps[:-1])
+    last = steps[-1]
+    if isinstance(parent, dict) and isinstance(last, str):
+        if replacement is _Absent:
+            parent.pop(last, None)
+        else:
+            parent[last] = replacement
+    elif isinstance(parent, list) and isinstance(last, int):
+        parent[last] = None if replacement is _Absent else replacement
+
+
+def _make_placeholder(kind: Any) -> Any:
+    """Return a value of the type, so that checks of other settings can still run."""
+    if get_origin(kind) in (Union, types.UnionType):
+        return None
+    if _is_enum(kind):
+        return str(next(iter(kind)))
+    if _is_tuple(kind):
+        return []
+    if attrs.has(kind):
+        fields = attrs.fields(attrs.resolve_types(kind))
+        required = [field for field in fields if field.default is attrs.NOTHING]
+        return {field.name: _make_placeholder(field.type) for field in required}
+    if kind is str:
+        return PLACEHOLDER_NAME
+    return kind() if kind in PRIMITIVES else _Absent
+
+
+def _copy(value: JsonObject) -> JsonObject:
+    def copy(item: JsonValue) -> JsonValue:
+        if isinstance(item, dict):
+            return {key: copy(inner) for key, inner in item.items()}
+        return [copy(inner) for inner in item] if isinstance(item, list) else item
+
+    return {key: copy(item) for key, item in value.items()}
--- a/packages/fescueseam/src/fescueseam/exceptions.py
+++ b/packages/fescueseam/src/fescueseam/exceptions.py
@@ -1,9 +1,13 @@
 """Define the closed list of error kinds and the exception tree built on it."""
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
+if TYPE_CHECKING:
+    from fescueseam.checks.faults import Fault
+
 
 class ErrorKind(StrEnum):
     """List every kind of error that the system can meet."""
@@ -121,6 +125,11 @@
 
     kind = ErrorKind.INVALID_SETTINGS
 
+    def __init__(self, detail: str, faults: "tuple[Fault, ...]" = ()) -> None:
+        """Keep every fault beside the detail."""
+        super().__init__(detail)
+        self.faults = faults
+
 
 class StoreError(FescueseamError):
     """Report a failed call of the platform's object API."""
