--- a/packages/fescueseam/src/fescueseam/admission/gate.py
+++ b/packages/fescueseam/src/fescueseam/admission/gate.py
@@ -69,6 +69,17 @@
         self._warm_since = now
         self._verified = -math.inf
 
+    def change_rules(self, rules: AdmissionRules, now: float) -> None:
+        """Take new rules; a warm backend server stays warm, a cold one starts again."""
+        if rules == self.rules:
+            return
+        warm = self.is_warm()
+        self.rules = rules
+        if warm:
+            self.slot_bound = rules.slots
+        else:
+            self.cool(now)
+
     def is_warm(self) -> bool:
         """Tell whether the bound on slots has reached its full value."""
         return self.slot_bound >= self.rules.slots
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/agent/tests/conftest.py
@@ -0,0 +1,156 @@
+"""Join a few agents by a perfect network, so that tests can lose what they choose."""
+
+import ipaddress
+from collections.abc import Callable
+
+import pytest
+from attrs import define, field
+
+from fescueseam.admission.gate import LoadReport
+from fescueseam.agent.core import Agent
+from fescueseam.claims.registry import PACKET_LIFETIME_S
+from fescueseam.conf.models import (
+    AdmissionRules,
+    Configuration,
+    DataCentre,
+    FlowKind,
+    Service,
+    ServiceClass,
+    Transport,
+)
+from fescueseam.effects import CloseFlow, Deliver, Drop, Effects, Probe, Refuse, Send
+from fescueseam.flows.keys import FlowKey
+from fescueseam.messages.types import Message
+from fescueseam.packets.adapter import build_udp
+from fescueseam.routing.balancer import Balancer
+from fescueseam.routing.table import Member, Table
+
+ADDRESS = "10.40.0.10"
+REQUEST_PORT = 5000
+ONCE_PORT = 5001
+STREAM_PORT = 5002
+RULES = AdmissionRules(slots=2, cold_slots=2, connections=10, cold_connections=10)
+CLASSES = (
+    ServiceClass("request", REQUEST_PORT, Transport.UDP, wait_s=0.2),
+    ServiceClass("once", ONCE_PORT, Transport.UDP, repeatable=False, wait_s=0.2),
+    ServiceClass("stream", STREAM_PORT, Transport.UDP, kind=FlowKind.STREAM),
+)
+CENTRES = ("uno", "dos", "tres")
+
+
+def build_packet(port: int, number: int, payload: bytes = b"open") -> bytes:
+    source = ipaddress.ip_address("10.9.0.1").packed
+    destination = ipaddress.ip_address(ADDRESS).packed
+    return build_udp(source, 1024 + number, destination, port, payload)
+
+
+def keep_all(sender: str, target: str, message: Message) -> bool:
+    return True
+
+
+@define
+class Cluster:
+    """Run agents on one virtual clock."""
+
+    now: float = 0.0
+    agents: dict[str, Agent] = field(factory=dict)
+    balancer: Balancer = field(factory=lambda: Balancer("balancer", 1))
+    reports: dict[str, LoadReport] = field(factory=dict)
+    delivered: list[tuple[str, FlowKey]] = field(factory=list)
+    opened: list[tuple[str, FlowKey]] = field(factory=list)
+    refused: list[FlowKey] = field(factory=list)
+    dropped: list[Drop] = field(factory=list)
+    keep: Callable[[str, str, Message], bool] = keep_all
+    silent_backends: set[str] = field(factory=set)
+    epoch: int = 1
+
+    def set_up(self, names: list[str], cfg: Configuration) -> None:
+        for name in names:
+            self.start(name)
+        self.publish(cfg, self.build_table(names))
+
+    def start(self, name: str, incarnation: int = 1) -> Agent:
+        centre = CENTRES[int(name[-1]) % len(CENTRES)]
+        agent = Agent(name, incarnation, "bitacora", centre, self.now, RULES)
+        self.agents[name] = agent
+        self.reports.setdefault(name, LoadReport(1, 0, 0, self.now, 1000.0))
+        return agent
+
+    def build_table(self, names: list[str], epoch: int = 1) -> Table:
+        members = [
+            Member(name, self.agents[name].data_centre, name, 1, self.agents[name].incarnation)
+            for name in names
+        ]
+        return Table("bitacora", epoch, tuple(members), buckets=16, seed=7)
+
+    def publish(self, cfg: Configuration, table: Table, only: set[str] | None = None) -> None:
+        for name, agent in self.agents.items():
+            if only is None or name in only:
+                agent.view.set_configuration(cfg)
+                agent.view.set_table(table)
+        if only is None or "balancer" in only:
+            self.balancer.view.set_configuration(cfg)
+            self.balancer.view.set_table(table)
+
+    def send(self, raw: bytes) -> None:
+        self.run("balancer", self.balancer.handle_packet(raw))
+
+    def run(self, name: str, effects: Effects) -> None:
+        for effect in effects:
+            self.run_one(name, effect)
+
+    def run_one(self, name: str, effect: object) -> None:
+        match effect:
+            case Send():
+                if self.keep(name, effect.address, effect.message):
+                    target = self.agents.get(effect.address)
+                    if target is not None:
+                        self.run(target.name, target.handle_message(effect.message, self.now))
+            case Deliver():
+                self.delivered.append((name, effect.flow))
+                if effect.opening:
+                    self.opened.append((name, effect.flow))
+            case Refuse():
+                self.refused.append(effect.packet.flow)
+            case Drop():
+                self.dropped.append(effect)
+            case Probe():
+                self.probe(name)
+            case CloseFlow():
+                pass
+
+    def probe(self, name: str) -> None:
+        if name in self.silent_backends:
+            return
+        known = self.reports[name]
+        flows = len(self.agents[name].home.flows)
+        uptime_s = known.uptime_s + self.now
+        report = LoadReport(known.incarnation, 0, flows, self.now, uptime_s)
+        self.run(name, self.agents[name].handle_report(report, self.now))
+
+    def advance(self, seconds: float, step: float = 0.02) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            for name, agent in list(self.agents.items()):
+                self.run(name, agent.tick(self.now))
+
+    def close_flow(self, name: str, flow: FlowKey) -> None:
+        self.run(name, self.agents[name].handle_closed(flow, True, self.now))
+
+
+@pytest.fixture
+def cfg() -> Configuration:
+    centres = tuple(DataCentre(name, "valle") for name in CENTRES)
+    return Configuration(1, (Service("bitacora", ADDRESS, CLASSES, RULES),), centres)
+
+
+@pytest.fixture
+def cluster(cfg: Configuration) -> Cluster:
+    made = Cluster()
+    made.set_up([f"server-{index}" for index in range(4)], cfg)
+    made.advance(2 * PACKET_LIFETIME_S)
+    for name in made.agents:
+        made.probe(name)
+    made.advance(0.02)
+    return made
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
@@ -0,0 +1,177 @@
+from attrs import evolve
+
+from fescueseam.agent.tests.conftest import (
+    ONCE_PORT,
+    REQUEST_PORT,
+    STREAM_PORT,
+    Cluster,
+    build_packet,
+)
+from fescueseam.claims.registry import PACKET_LIFETIME_S
+from fescueseam.conf.models import Configuration, DataCentreState
+from fescueseam.exceptions import ErrorKind
+from fescueseam.messages import types
+from fescueseam.messages.types import Message
+from fescueseam.packets.adapter import parse_packet
+
+
+def test_later_packets_reach_the_home_of_the_flow(cluster: Cluster) -> None:
+    for number in range(6):
+        cluster.send(build_packet(STREAM_PORT, number))
+        cluster.send(build_packet(STREAM_PORT, number, b"more"))
+    homes = dict(reversed(flow) for flow in cluster.opened)
+    assert len(cluster.opened) == 6
+    assert all(homes[flow] == name for name, flow in cluster.delivered)
+    assert len(cluster.delivered) == 12
+
+
+def test_every_slot_is_filled_before_anything_is_refused(cluster: Cluster) -> None:
+    for number in range(8):
+        cluster.send(build_packet(REQUEST_PORT, number))
+    assert len(cluster.opened) == 8
+    cluster.send(build_packet(REQUEST_PORT, 8))
+    assert len(cluster.opened) == 8
+    cluster.advance(0.1)
+    assert not cluster.refused
+    cluster.advance(0.2)
+    assert len(cluster.refused) == 1
+
+
+def test_waiting_opening_takes_the_first_free_slot(cluster: Cluster) -> None:
+    for number in range(9):
+        cluster.send(build_packet(REQUEST_PORT, number))
+    name, flow = cluster.opened[3]
+    cluster.close_flow(name, flow)
+    assert len(cluster.opened) == 9
+    assert cluster.opened[-1][0] == name
+    cluster.advance(1.0)
+    assert not cluster.refused
+
+
+def test_duplicate_of_a_refused_opening_is_refused_again(cluster: Cluster) -> None:
+    for number in range(9):
+        cluster.send(build_packet(REQUEST_PORT, number))
+    cluster.advance(0.4)
+    for name, flow in list(cluster.opened):
+        cluster.close_flow(name, flow)
+    cluster.send(build_packet(REQUEST_PORT, 8))
+    assert len(cluster.opened) == 8
+    assert len(cluster.refused) == 2
+
+
+def test_duplicate_after_the_end_does_not_run_again(cluster: Cluster) -> None:
+    raw = build_packet(ONCE_PORT, 1)
+    cluster.send(raw)
+    assert len(cluster.opened) == 1
+    cluster.close_flow(*cluster.opened[0])
+    cluster.send(raw)
+    for agent in cluster.agents.values():
+        agent.recorder.homes.clear()
+    cluster.send(raw)
+    assert len(cluster.opened) == 1
+
+
+def test_two_recorders_do_not_both_place_a_flow(cluster: Cluster) -> None:
+    raw = build_packet(ONCE_PORT, 1)
+    flow = parse_packet(raw).flow
+    for agent in list(cluster.agents.values()):
+        carry = Message("balancer", 1, types.Carry(raw), 0, agent.name, "bitacora", "once", 1, 1)
+        cluster.run(agent.name, agent.handle_message(carry, cluster.now))
+    assert [opened for _, opened in cluster.opened] == [flow]
+
+
+def test_claim_without_a_majority_is_neither_run_nor_refused(cluster: Cluster) -> None:
+    def keep(sender: str, target: str, message: Message) -> bool:
+        return not isinstance(message.body, types.Ask) or target == sender
+
+    cluster.keep = keep
+    cluster.send(build_packet(ONCE_PORT, 1))
+    cluster.advance(3.0)
+    assert not cluster.opened
+    assert not cluster.refused
+    assert ErrorKind.UNRESOLVED_CLAIM in {drop.kind for drop in cluster.dropped}
+
+
+def test_lost_answer_leaves_an_opening_unresolved_not_refused(cluster: Cluster) -> None:
+    def keep(sender: str, target: str, message: Message) -> bool:
+        return not isinstance(message.body, types.Placed)
+
+    cluster.keep = keep
+    for number in range(8):
+        cluster.send(build_packet(ONCE_PORT, number))
+    cluster.advance(5.0)
+    flows = [flow for _, flow in cluster.opened]
+    assert len(flows) == len(set(flows))
+    assert not cluster.refused
+
+
+def test_restarted_member_grants_nothing_until_old_packets_are_dead(cluster: Cluster) -> None:
+    agent = cluster.start("server-1", incarnation=2)
+    flow = parse_packet(build_packet(ONCE_PORT, 1)).flow
+    assert not agent.claims.grant(flow, "server-0", 1, cluster.now)
+    later = cluster.now + PACKET_LIFETIME_S
+    assert agent.claims.grant(flow, "server-0", 1, later)
+
+
+def test_new_recorder_finds_the_flows_of_the_former_one(
+    cluster: Cluster, cfg: Configuration
+) -> None:
+    for number in range(6):
+        cluster.send(build_packet(STREAM_PORT, number))
+    names = [*cluster.agents, "server-4", "server-5", "server-6"]
+    for name in names[4:]:
+        cluster.start(name)
+    cluster.publish(cfg, cluster.build_table(names, epoch=2))
+    for name in names[4:]:
+        cluster.publish(evolve(cfg, version=2), cluster.build_table(names, epoch=2), {name})
+    cluster.advance(0.1)
+    for number in range(6):
+        cluster.send(build_packet(STREAM_PORT, number, b"more"))
+    assert len(cluster.opened) == 6
+    assert len(cluster.delivered) == 12
+
+
+def test_data_centre_that_is_out_gets_no_packet(cluster: Cluster, cfg: Configuration) -> None:
+    for number in range(8):
+        cluster.send(build_packet(STREAM_PORT, number))
+    centres = tuple(
+        evolve(centre, state=DataCentreState.OUT) if centre.name == "uno" else centre
+        for centre in cfg.data_centres
+    )
+    # The balancer is behind; the agents of the data centre stop by themselves.
+    out = evolve(cfg, version=2, data_centres=centres)
+    cluster.publish(out, cluster.build_table(list(cluster.agents)), set(cluster.agents))
+    cluster.advance(0.1)
+    cluster.delivered.clear()
+    for number in range(16):
+        cluster.send(build_packet(STREAM_PORT, number))
+    inside = {name for name, agent in cluster.agents.items() if agent.data_centre == "uno"}
+    assert inside
+    assert not inside & {name for name, _ in cluster.delivered}
+
+
+def test_message_for_another_service_is_dropped(cluster: Cluster) -> None:
+    raw = build_packet(REQUEST_PORT, 1)
+    for service, target in (("acopio", "server-0"), ("bitacora", "server-1")):
+        message = Message("balancer", 1, types.Carry(raw), 0, target, service, "request", 1, 1)
+        cluster.run("server-0", cluster.agents["server-0"].handle_message(message, cluster.now))
+    assert not cluster.delivered
+    assert [drop.kind for drop in cluster.dropped] == [ErrorKind.WRONG_SERVICE] * 2
+
+
+def test_silent_backend_server_is_given_nothing_above_the_cold_bound(cluster: Cluster) -> None:
+    cluster.silent_backends = set(cluster.agents)
+    for agent in cluster.agents.values():
+        agent.home.gate.rules = evolve(agent.home.gate.rules, cold_slots=1)
+    for number in range(8):
+        cluster.send(build_packet(REQUEST_PORT, number))
+    cluster.advance(0.5)
+    assert len(cluster.opened) == 4
+
+
+def test_offers_that_waited_out_a_pause_are_turned_down(cluster: Cluster) -> None:
+    agent = cluster.agents["server-0"]
+    raw = build_packet(ONCE_PORT, 1)
+    place = Message("server-1", 1, types.Place(1, raw), 0, "server-0", "bitacora", "once", 1, 1)
+    cluster.run("server-0", agent.handle_message(place, cluster.now + 5.0))
+    assert not cluster.opened
--- a/packages/fescueseam/src/fescueseam/conf/models.py
+++ b/packages/fescueseam/src/fescueseam/conf/models.py
@@ -132,6 +132,8 @@
 
     address: str
     load_url: str
+    port_offset: int = 0
+    """Add this to the port of a class to get the backend server's own port."""
     decapsulation_port: int = 6080
     """Receive encapsulated TCP packets on this UDP port of the instance."""
 
