Add the fabric, backend server and caller stand-ins

The path needs a real protocol at both ends that nobody here wrote: HTTP/3 by aioquic, its protocol parts driven by trio. aioquic's own server was ruled out because it needs another event loop. A backend server in a cold start falls over when given more than it bears, so an over-admission shows; its count of runs outlives a restart, because it is proof and not the server's state. 18 tests pass, among them requests under 20% duplicates and 20% reordering, refusals met by a real client, and silence that is never taken for a refusal.

--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend.py
@@ -0,0 +1,260 @@
+"""Stand in for a backend server: HTTP/3, plain UDP requests and a load endpoint."""
+
+import time
+from collections.abc import Callable
+from typing import Annotated
+
+import trio
+import typer
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from .backend_state import BackendSettings, BackendState
+from .certificates import make_credentials
+from .datagrams import DatagramSocket, Endpoint
+from .http3_server import ConnectionHooks, Http3Request, Http3Server, Responder
+from .platform import answer
+from .running import run_until_stopped, serve_http
+
+DEFAULT_CHUNKS = 10
+DEFAULT_INTERVAL_S = 0.1
+SERVICE_HEADER = "x-service"
+BACKEND_HEADER = "x-backend"
+
+
+class BackendServer:
+    """Serve on any number of ports by one state."""
+
+    def __init__(self, state: BackendState, clock: Callable[[], float] = trio.current_time) -> None:
+        self.state = state
+        self.clock = clock
+        self._credentials = make_credentials(state.cfg.service)
+        self._servers: list[Http3Server] = []
+        self._udp_socks: list[DatagramSocket] = []
+
+    async def start(
+        self,
+        nursery: trio.Nursery,
+        address: str,
+        request_ports: list[int],
+        stream_ports: list[int],
+        udp_ports: list[int],
+    ) -> None:
+        """Open every port and begin to serve."""
+        for port in request_ports:
+            await self._serve(nursery, address, port, self._track_request_connection)
+        for port in stream_ports:
+            await self._serve(nursery, address, port, self._track_stream_connection)
+        self._udp_socks = [DatagramSocket(address, port) for port in udp_ports]
+        for sock in self._udp_socks:
+            nursery.start_soon(self._serve_udp, nursery, sock)
+
+    def close(self) -> None:
+        """Close every port."""
+        for server in self._servers:
+            server.close()
+        for sock in self._udp_socks:
+            sock.close()
+
+    def list_sockets(self) -> list[DatagramSocket]:
+        """Return the sockets for requests, streams and plain UDP, in this order."""
+        return [server.sock for server in self._servers] + self._udp_socks
+
+    def restart(self) -> None:
+        """Return to a cold start, dropping every connection without a word."""
+        for server in self._servers:
+            server.forget_all()
+        self.state.restart(self.clock(), make_incarnation())
+
+    def is_silent(self) -> bool:
+        """Tell whether the server answers nothing after an overload."""
+        return self.state.is_fallen(self.clock())
+
+    async def handle(self, req: Http3Request, responder: Responder) -> bool:
+        """Answer one HTTP/3 request; return whether it was answered whole."""
+        if self.state.is_overfull():
+            self.state.counts.shed += 1
+            self._send_text(responder, 503, "shed")
+            return False
+        if req.path == "/echo":
+            await self._echo(req, responder)
+        elif req.path == "/stream":
+            await self._stream(req, responder)
+        elif req.path == "/record" and req.method == "POST":
+            await self._record(req, responder)
+        else:
+            self._send_text(responder, 404, req.path)
+        return True
+
+    async def _echo(self, req: Http3Request, responder: Responder) -> None:
+        await trio.sleep(self.state.cfg.service_time_s)
+        query = "&".join(f"{name}={value}" for name, value in req.query.items())
+        self._send_text(responder, 200, query)
+
+    async def _record(self, req: Http3Request, responder: Responder) -> None:
+        run_id = req.query.get("id", "")
+        count = self.state.note_run(run_id)
+        await trio.sleep(self.state.cfg.service_time_s)
+        self._send_text(responder, 200, f"{run_id} {count}")
+
+    async def _stream(self, req: Http3Request, responder: Responder) -> None:
+        try:
+            interval_s = float(req.query.get("interval_s", DEFAULT_INTERVAL_S))
+            count = int(req.query.get("count", DEFAULT_CHUNKS))
+        except ValueError as exc:
+            self._send_text(responder, 400, str(exc))
+            return
+        responder.send_head(200, self._describe())
+        for number in range(count):
+            responder.send_data(f"{number}\n".encode())
+            await trio.sleep(interval_s)
+        responder.send_data(b"", end=True)
+
+    def _send_text(self, responder: Responder, status: int, text: str) -> None:
+        responder.send_head(status, self._describe())
+        cfg = self.state.cfg
+        responder.send_data(f"{cfg.service} {cfg.name} {text}".encode(), end=True)
+
+    def _describe(self) -> dict[str, str]:
+        return {SERVICE_HEADER: self.state.cfg.service, BACKEND_HEADER: self.state.cfg.name}
+
+    async def _serve(
+        self,
+        nursery: trio.Nursery,
+        address: str,
+        port: int,
+        track: Callable[[], ConnectionHooks],
+    ) -> None:
+        server = Http3Server(self._credentials, self.handle, track, self.is_silent)
+        await server.start(nursery, address, port)
+        self._servers.append(server)
+
+    def _track_stream_connection(self) -> ConnectionHooks:
+        self.state.open_stream(self.clock())
+
+        def finish(answered: bool) -> None:
+            self.state.completed += int(answered)
+
+        return ConnectionHooks(lambda: None, finish, lambda: self.state.close_stream(self.clock()))
+
+    def _track_request_connection(self) -> ConnectionHooks:
+        # A slot is taken from the opening packet until the answer has been sent.
+        self.state.open_request(self.clock())
+        held, running = 1, 0
+
+        def begin() -> None:
+            nonlocal held, running
+            running += 1
+            if running > held:
+                held += 1
+                self.state.open_request(self.clock())
+
+        def finish(answered: bool) -> None:
+            nonlocal held, running
+            running -= 1
+            held -= 1
+            self.state.close_request(self.clock(), answered)
+
+        def end() -> None:
+            for _ in range(held):
+                self.state.close_request(self.clock(), False)
+
+        return ConnectionHooks(begin, finish, end)
+
+    async def _serve_udp(self, nursery: trio.Nursery, sock: DatagramSocket) -> None:
+        while True:
+            datagram, peer = await sock.receive()
+            if not self.is_silent():
+                nursery.start_soon(self._answer_datagram, sock, datagram, peer)
+
+    async def _answer_datagram(self, sock: DatagramSocket, datagram: bytes, peer: Endpoint) -> None:
+        incarnation = self.state.incarnation
+        self.state.open_request(self.clock())
+        run_id = datagram.decode("latin-1")
+        count = self.state.note_run(run_id)
+        await trio.sleep(self.state.cfg.service_time_s)
+        if self.is_silent() or incarnation != self.state.incarnation:
+            return
+        cfg = self.state.cfg
+        sock.send(f"{cfg.service} {cfg.name} {run_id} {count}".encode("latin-1"), peer)
+        self.state.close_request(self.clock(), True)
+
+
+def build_app(server: BackendServer) -> QuartTrio:
+    """Return the ASGI application of the load endpoint and its switches."""
+    app = QuartTrio(__name__)
+
+    async def show_load() -> Response:
+        return answer(200, server.state.describe_load(server.clock()))
+
+    async def show_runs() -> Response:
+        return answer(200, server.state.describe_counts())
+
+    async def restart() -> Response:
+        server.restart()
+        return await show_load()
+
+    async def drain() -> Response:
+        server.state.draining = request.args.get("on", "true") == "true"
+        return await show_load()
+
+    app.add_url_rule("/load", "show_load", show_load, methods=["GET"])
+    app.add_url_rule("/runs", "show_runs", show_runs, methods=["GET"])
+    app.add_url_rule("/restart", "restart", restart, methods=["POST"])
+    app.add_url_rule("/drain", "drain", drain, methods=["POST"])
+    return app
+
+
+def make_incarnation() -> int:
+    """Return a number greater than that of any earlier start, in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def main(
+    service: Annotated[str, typer.Option()],
+    name: Annotated[str, typer.Option()],
+    address: str = "127.0.0.1",
+    request_port: Annotated[list[int] | None, typer.Option(help="HTTP/3 requests")] = None,
+    stream_port: Annotated[list[int] | None, typer.Option(help="HTTP/3 streams")] = None,
+    udp_port: Annotated[list[int] | None, typer.Option(help="plain UDP requests")] = None,
+    load_port: int = 8080,
+    slots: int = 2,
+    connections: int = 2000,
+    cold_slots: int = 1,
+    cold_connections: int = 100,
+    warm_up_successes: int = 8,
+    warm_up_s: float = 30.0,
+    service_time_s: float = 0.02,
+    fall_over_s: float = 2.0,
+    load_lag_s: float = 0.0,
+    load_busy_factor: float = 1.0,
+) -> None:
+    """Serve until SIGTERM."""
+    cfg = BackendSettings(
+        service=service,
+        name=name,
+        slots=slots,
+        connections=connections,
+        cold_slots=cold_slots,
+        cold_connections=cold_connections,
+        warm_up_successes=warm_up_successes,
+        warm_up_s=warm_up_s,
+        service_time_s=service_time_s,
+        fall_over_s=fall_over_s,
+        load_lag_s=load_lag_s,
+        load_busy_factor=load_busy_factor,
+    )
+
+    async def work() -> None:
+        server = BackendServer(BackendState(cfg, make_incarnation(), trio.current_time()))
+        async with trio.open_nursery() as nursery:
+            await server.start(
+                nursery, address, request_port or [], stream_port or [], udp_port or []
+            )
+            await serve_http(build_app(server), address, load_port)
+
+    run_until_stopped(work)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/fabric.py
@@ -0,0 +1,228 @@
+"""Stand in for the fabric: spray callers' packets over balancers and return answers."""
+
+import ipaddress
+import random
+from collections import OrderedDict
+from typing import Annotated
+
+import dpkt
+import trio
+import typer
+from attrs import define, frozen
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from fescueseam.exceptions import PacketError
+from fescueseam.packets.adapter import decapsulate, parse_packet
+
+from .datagrams import DatagramSocket, Endpoint, parse_endpoint
+from .platform import answer
+from .platform_state import JsonValue
+from .running import run_until_stopped, serve_http
+
+MAX_CALLERS = 200_000
+"""Bound the inner endpoints whose callers are remembered."""
+MAX_HELD_PACKETS = 10_000
+"""Bound the packets that are held back at one time."""
+
+
+@frozen
+class FabricSettings:
+    """Hold where the fabric listens and how it treats packets."""
+
+    address: str
+    port: int = 6080
+    """Receive callers' packets on this UDP port."""
+    return_port: int = 6081
+    """Receive answers on this UDP port."""
+    duplicate_rate: float = 0.0
+    reorder_rate: float = 0.0
+    reorder_delay_s: float = 0.005
+    """Hold a reordered packet back for this long, in seconds."""
+    seed: int = 1
+
+
+@define
+class FabricCounts:
+    """Count what passed the fabric."""
+
+    forwarded: int = 0
+    duplicated: int = 0
+    reordered: int = 0
+    returned: int = 0
+    malformed: int = 0
+    without_balancer: int = 0
+    without_caller: int = 0
+
+
+class Fabric:
+    """Forward packets between callers and balancers without knowing flows."""
+
+    def __init__(self, cfg: FabricSettings, balancers: list[Endpoint]) -> None:
+        self.cfg = cfg
+        self.balancers = balancers
+        self.counts = FabricCounts()
+        self._random = random.Random(cfg.seed)
+        self._callers: OrderedDict[tuple[bytes, int], Endpoint] = OrderedDict()
+        self._held = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open both ports and begin to forward."""
+        self.calls = DatagramSocket(self.cfg.address, self.cfg.port)
+        self.returns = DatagramSocket(self.cfg.address, self.cfg.return_port)
+        self._nursery = nursery
+        nursery.start_soon(self._forward_calls)
+        nursery.start_soon(self._forward_returns)
+
+    def close(self) -> None:
+        """Close both ports."""
+        self.calls.close()
+        self.returns.close()
+
+    async def _forward_calls(self) -> None:
+        while True:
+            datagram, caller = await self.calls.receive()
+            try:
+                packet = parse_packet(decapsulate(datagram))
+            except PacketError:
+                self.counts.malformed += 1
+                continue
+            self._remember(packet.flow.source, packet.flow.source_port, caller)
+            self._spray(datagram)
+
+    def _remember(self, address: bytes, port: int, caller: Endpoint) -> None:
+        # Answers without ports, those of ICMP, go to the last caller of the address.
+        for key in ((address, port), (address, 0)):
+            self._callers[key] = caller
+            self._callers.move_to_end(key)
+        while len(self._callers) > MAX_CALLERS:
+            self._callers.popitem(last=False)
+
+    def _spray(self, datagram: bytes) -> None:
+        if not self.balancers:
+            self.counts.without_balancer += 1
+            return
+        if self._random.random() < self.cfg.duplicate_rate:
+            self.counts.duplicated += 1
+            self._forward(datagram)
+        if self._random.random() < self.cfg.reorder_rate and self._held < MAX_HELD_PACKETS:
+            self.counts.reordered += 1
+            self._held += 1
+            self._nursery.start_soon(self._forward_later, datagram)
+            return
+        self._forward(datagram)
+
+    def _forward(self, datagram: bytes) -> None:
+        if self.balancers:
+            self.counts.forwarded += 1
+            self.calls.send(datagram, self._random.choice(self.balancers))
+
+    async def _forward_later(self, datagram: bytes) -> None:
+        await trio.sleep(self.cfg.reorder_delay_s)
+        self._held -= 1
+        self._forward(datagram)
+
+    async def _forward_returns(self) -> None:
+        while True:
+            datagram, _ = await self.returns.receive()
+            try:
+                address, port = find_destination(decapsulate(datagram))
+            except PacketError:
+                self.counts.malformed += 1
+                continue
+            caller = self._callers.get((address, port))
+            if caller is None:
+                self.counts.without_caller += 1
+                continue
+            self.counts.returned += 1
+            self.calls.send(datagram, caller)
+
+
+def find_destination(raw: bytes) -> tuple[bytes, int]:
+    """Return the inner destination of an answer; port 0 stands for a protocol without ports."""
+    try:
+        flow = parse_packet(raw).flow
+    except PacketError:
+        return find_address(raw), 0
+    return flow.destination, flow.destination_port
+
+
+def find_address(raw: bytes) -> bytes:
+    """Return the destination address of any IP packet."""
+    try:
+        outer = dpkt.ip.IP(raw) if raw[0] >> 4 == 4 else dpkt.ip6.IP6(raw)
+    except dpkt.UnpackError as exc:
+        raise PacketError(str(exc)) from exc
+    return bytes(outer.dst)
+
+
+def build_app(fabric: Fabric) -> QuartTrio:
+    """Return the ASGI application of the control endpoint."""
+    app = QuartTrio(__name__)
+
+    def describe() -> dict[str, JsonValue]:
+        return {
+            "balancers": [f"{address}:{port}" for address, port in fabric.balancers],
+            "counts": {name: getattr(fabric.counts, name) for name in _COUNT_NAMES},
+        }
+
+    async def show() -> Response:
+        return answer(200, describe())
+
+    async def replace() -> Response:
+        body = await request.get_json(force=True)
+        try:
+            fabric.balancers = [_check_endpoint(text) for text in body["balancers"]]
+        except (KeyError, TypeError, ValueError) as exc:
+            return answer(400, {"error": repr(exc)})
+        return answer(200, describe())
+
+    app.add_url_rule("/balancers", "show", show, methods=["GET"])
+    app.add_url_rule("/balancers", "replace", replace, methods=["POST"])
+    return app
+
+
+_COUNT_NAMES = (
+    "forwarded",
+    "duplicated",
+    "reordered",
+    "returned",
+    "malformed",
+    "without_balancer",
+    "without_caller",
+)
+
+
+def _check_endpoint(text: str) -> Endpoint:
+    address, port = parse_endpoint(text)
+    ipaddress.ip_address(address)
+    return address, port
+
+
+def main(
+    address: str = "127.0.0.2",
+    port: int = 6080,
+    return_port: int = 6081,
+    control_port: int = 7001,
+    balancer: Annotated[list[str] | None, typer.Option(help="address:port, repeatable")] = None,
+    duplicate_rate: float = 0.0,
+    reorder_rate: float = 0.0,
+    reorder_delay_s: float = 0.005,
+    seed: int = 1,
+) -> None:
+    """Forward packets until SIGTERM."""
+    cfg = FabricSettings(
+        address, port, return_port, duplicate_rate, reorder_rate, reorder_delay_s, seed
+    )
+    fabric = Fabric(cfg, [_check_endpoint(text) for text in balancer or ()])
+
+    async def work() -> None:
+        async with trio.open_nursery() as nursery:
+            await fabric.start(nursery)
+            await serve_http(build_app(fabric), address, control_port)
+
+    run_until_stopped(work)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/http3_client.py
@@ -0,0 +1,202 @@
+"""Speak HTTP/3 through the fabric as a caller."""
+
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from ssl import CERT_NONE
+from typing import Any
+
+import trio
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionTerminated, HandshakeCompleted, StreamReset
+from aioquic.quic.packet import QuicErrorCode
+from attrs import frozen
+
+from .caller_socket import CallerSocket, FlowHooks
+from .datagrams import Endpoint
+from .http3_server import HTTP3_ALPN
+from .quic_driver import QuicDriver
+
+IDLE_TIMEOUT_S = 10.0
+"""Take it that a silent connection is broken after this time, in seconds."""
+HTTP3_NO_ERROR = 0x100
+
+
+class CallerError(Exception):
+    """Base what a caller may meet instead of an answer."""
+
+
+class FlowRefusedError(CallerError):
+    """Report a refusal, which promises that nothing has run."""
+
+
+class FlowBrokenError(CallerError):
+    """Report an end without an answer, which promises nothing."""
+
+
+@frozen
+class Target:
+    """Locate one class of a service."""
+
+    endpoint: Endpoint
+    service: str = "service"
+
+
+@frozen
+class ResponseHead:
+    """Hold status and headers of an answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class ResponseReader:
+    """Read the answer to one request as it arrives."""
+
+    def __init__(self) -> None:
+        self._send, self._receive = trio.open_memory_channel[Any](math.inf)
+        self.head: ResponseHead | None = None
+
+    def put(self, event: HeadersReceived | DataReceived | CallerError) -> None:
+        """Take an event of the request's stream."""
+        self._send.send_nowait(event)
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for status and headers."""
+        while self.head is None:
+            event = await self._next()
+            if isinstance(event, HeadersReceived):
+                self.head = read_head(event)
+        return self.head
+
+    async def read_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body until its end."""
+        await self.read_head()
+        ended = False
+        while not ended:
+            event = await self._next()
+            ended = event.stream_ended
+            if isinstance(event, DataReceived) and event.data:
+                yield event.data
+
+    async def _next(self) -> Any:
+        event = await self._receive.receive()
+        if isinstance(event, CallerError):
+            raise event
+        return event
+
+
+class Http3Client:
+    """Hold one HTTP/3 connection through the fabric."""
+
+    def __init__(self, sock: CallerSocket, target: Target) -> None:
+        cfg = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=[HTTP3_ALPN],
+            server_name=target.service,
+            idle_timeout=IDLE_TIMEOUT_S,
+            verify_mode=CERT_NONE,
+        )
+        self._target = target
+        self._sock = sock
+        self._quic = QuicConnection(configuration=cfg)
+        self._http = H3Connection(self._quic)
+        self._ready = trio.Event()
+        self._error: CallerError | None = None
+        self._readers: dict[int, ResponseReader] = {}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Connect; raise where the connection is refused or breaks."""
+        hooks = FlowHooks(self._receive, self._note_prohibition)
+        self._flow = self._sock.open_flow(self._target.endpoint, hooks)
+        self._driver = QuicDriver(self._quic, self._flow.send, self._handle_event)
+        self._quic.connect(self._target.endpoint, now=trio.current_time())
+        self._driver.flush()
+        nursery.start_soon(self._driver.run_timer)
+        await self._ready.wait()
+        if self._error is not None:
+            raise self._error
+
+    def close(self) -> None:
+        """Close the connection and its flow."""
+        if not self._driver.closed:
+            self._quic.close(error_code=HTTP3_NO_ERROR)
+            self._driver.flush()
+        self._driver.end()
+        self._flow.close()
+
+    def send_request(self, path: str, method: str = "GET") -> ResponseReader:
+        """Send a request without a body; return the reader of its answer."""
+        if self._error is not None:
+            raise self._error
+        stream_id = self._quic.get_next_available_stream_id()
+        reader = self._readers[stream_id] = ResponseReader()
+        headers = [
+            (b":method", method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", self._target.service.encode()),
+            (b":path", path.encode()),
+        ]
+        self._http.send_headers(stream_id, headers, end_stream=True)
+        self._driver.flush()
+        return reader
+
+    def _receive(self, datagram: bytes) -> None:
+        if not self._driver.closed:
+            self._driver.receive(datagram, self._target.endpoint)
+
+    def _note_prohibition(self) -> None:
+        if not self._ready.is_set():
+            self._end(FlowRefusedError("prohibited by the network"))
+
+    def _handle_event(self, event: Any) -> None:
+        if isinstance(event, HandshakeCompleted):
+            self._ready.set()
+        elif isinstance(event, ConnectionTerminated):
+            self._end(self._explain(event))
+        elif isinstance(event, StreamReset) and event.stream_id in self._readers:
+            self._readers[event.stream_id].put(FlowBrokenError("stream reset"))
+        for http_event in self._http.handle_event(event):
+            if isinstance(http_event, HeadersReceived | DataReceived):
+                self._readers[http_event.stream_id].put(http_event)
+
+    def _explain(self, event: ConnectionTerminated) -> CallerError:
+        refused = event.error_code == QuicErrorCode.CONNECTION_REFUSED
+        if refused and not self._ready.is_set():
+            return FlowRefusedError("connection refused")
+        return FlowBrokenError(f"connection ended: {event.error_code:#x} {event.reason_phrase}")
+
+    def _end(self, error: CallerError) -> None:
+        self._error = error
+        self._driver.end()
+        self._ready.set()
+        for reader in self._readers.values():
+            reader.put(error)
+
+
+@asynccontextmanager
+async def open_client(sock: CallerSocket, target: Target) -> AsyncIterator[Http3Client]:
+    """Connect for the length of a block."""
+    client = Http3Client(sock, target)
+    error: CallerError | None = None
+    async with trio.open_nursery() as nursery:
+        try:
+            await client.start(nursery)
+            yield client
+        except CallerError as exc:
+            # Kept out of the nursery, which would wrap it in an exception group.
+            error = exc
+        finally:
+            client.close()
+            nursery.cancel_scope.cancel()
+    if error is not None:
+        raise error
+
+
+def read_head(event: HeadersReceived) -> ResponseHead:
+    """Return status and headers of an answer."""
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in event.headers}
+    return ResponseHead(int(headers.get(":status", "0")), headers)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/http3_server.py
@@ -0,0 +1,240 @@
+"""Serve HTTP/3 on one UDP port by aioquic's protocol parts and trio."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import trio
+from aioquic.buffer import Buffer
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ConnectionIdIssued,
+    ConnectionIdRetired,
+    ConnectionTerminated,
+    StopSendingReceived,
+    StreamReset,
+)
+from aioquic.quic.packet import (
+    QuicPacketType,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from attrs import frozen
+
+from fescueseam.packets.adapter import QUIC_MIN_INITIAL_BYTES
+
+from .certificates import Credentials
+from .datagrams import DatagramSocket, Endpoint
+from .quic_driver import QuicDriver
+
+HTTP3_ALPN = "h3"
+IDLE_TIMEOUT_S = 60.0
+
+
+@frozen
+class Http3Request:
+    """Hold the head of one request."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+
+
+class Responder:
+    """Send the answer to one request."""
+
+    def __init__(self, http: H3Connection, driver: QuicDriver, stream_id: int) -> None:
+        self._http = http
+        self._driver = driver
+        self._stream_id = stream_id
+
+    def send_head(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        fields = [(b":status", str(status).encode())]
+        fields += [(name.encode(), value.encode()) for name, value in headers.items()]
+        self._http.send_headers(self._stream_id, fields)
+        self._driver.flush()
+
+    def send_data(self, data: bytes, end: bool = False) -> None:
+        """Send a part of the body."""
+        self._http.send_data(self._stream_id, data, end_stream=end)
+        self._driver.flush()
+
+
+@frozen
+class ConnectionHooks:
+    """Tell the owner what becomes of one connection."""
+
+    begin_request: Callable[[], None]
+    finish_request: Callable[[bool], None]
+    """Take whether the request was answered whole."""
+    end: Callable[[], None]
+
+
+Handler = Callable[[Http3Request, Responder], Awaitable[bool]]
+"""Answer one request; return whether it was answered whole."""
+
+
+class _Connection:
+    """Hold one connection and the requests that run on it."""
+
+    def __init__(self, server: "Http3Server", quic: QuicConnection, peer: Endpoint) -> None:
+        self.server = server
+        self.peer = peer
+        self.ids: set[bytes] = set()
+        self.hooks = server.open_connection()
+        self.driver = QuicDriver(quic, self._send, self._handle_event)
+        self.http = H3Connection(quic)
+        self.scopes: dict[int, trio.CancelScope] = {}
+
+    def end(self) -> None:
+        """Cancel the requests and forget the connection."""
+        if self.driver.closed:
+            return
+        self.driver.end()
+        for scope in self.scopes.values():
+            scope.cancel()
+        self.server.forget(self)
+        self.hooks.end()
+
+    def _send(self, datagram: bytes) -> None:
+        self.server.send(datagram, self.peer)
+
+    def _handle_event(self, event: Any) -> None:
+        if isinstance(event, ConnectionTerminated):
+            self.end()
+        elif isinstance(event, ConnectionIdIssued):
+            self.server.add_id(event.connection_id, self)
+        elif isinstance(event, ConnectionIdRetired):
+            self.server.remove_id(event.connection_id, self)
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            scope = self.scopes.get(event.stream_id)
+            if scope is not None:
+                scope.cancel()
+        for http_event in self.http.handle_event(event):
+            if isinstance(http_event, HeadersReceived):
+                self.server.nursery.start_soon(self._run, http_event)
+
+    async def _run(self, event: HeadersReceived) -> None:
+        request = read_request(event.headers)
+        responder = Responder(self.http, self.driver, event.stream_id)
+        answered = False
+        self.hooks.begin_request()
+        with trio.CancelScope() as scope:
+            self.scopes[event.stream_id] = scope
+            answered = await self.server.handler(request, responder)
+        del self.scopes[event.stream_id]
+        if not self.driver.closed:
+            self.hooks.finish_request(answered)
+
+
+class Http3Server:
+    """Hold the connections of one UDP port."""
+
+    def __init__(
+        self,
+        credentials: Credentials,
+        handler: Handler,
+        open_connection: Callable[[], ConnectionHooks],
+        is_silent: Callable[[], bool],
+    ) -> None:
+        self.cfg = QuicConfiguration(
+            is_client=False, alpn_protocols=[HTTP3_ALPN], idle_timeout=IDLE_TIMEOUT_S
+        )
+        self.cfg.certificate = credentials.certificate
+        self.cfg.private_key = credentials.private_key
+        self.handler = handler
+        self.open_connection = open_connection
+        self._is_silent = is_silent
+        self._connections: dict[bytes, _Connection] = {}
+
+    async def start(self, nursery: trio.Nursery, address: str, port: int) -> None:
+        """Open the port and begin to serve."""
+        self.nursery = nursery
+        self.sock = DatagramSocket(address, port)
+        nursery.start_soon(self._receive)
+
+    def close(self) -> None:
+        """Forget every connection without a word and close the port."""
+        self.forget_all()
+        self.sock.close()
+
+    def forget_all(self) -> None:
+        """Forget every connection without a word, as a crash would."""
+        for connection in set(self._connections.values()):
+            connection.end()
+
+    def send(self, datagram: bytes, peer: Endpoint) -> None:
+        """Send a datagram unless the server is silent."""
+        if not self._is_silent():
+            self.sock.send(datagram, peer)
+
+    def add_id(self, connection_id: bytes, connection: _Connection) -> None:
+        """Find a connection by one more identifier."""
+        connection.ids.add(connection_id)
+        self._connections[connection_id] = connection
+
+    def remove_id(self, connection_id: bytes, connection: _Connection) -> None:
+        """Find a connection no longer by an identifier."""
+        connection.ids.discard(connection_id)
+        self._connections.pop(connection_id, None)
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop every identifier of a connection."""
+        for connection_id in list(connection.ids):
+            self.remove_id(connection_id, connection)
+
+    async def _receive(self) -> None:
+        while True:
+            datagram, peer = await self.sock.receive()
+            if not self._is_silent():
+                self._take(datagram, peer)
+
+    def _take(self, datagram: bytes, peer: Endpoint) -> None:
+        try:
+            header = pull_quic_header(
+                Buffer(data=datagram), host_cid_length=self.cfg.connection_id_length
+            )
+        except ValueError:
+            return
+        connection = self._connections.get(header.destination_cid)
+        if connection is None:
+            if header.version is not None and header.version not in self.cfg.supported_versions:
+                self._offer_versions(header, peer)
+                return
+            if header.packet_type is not QuicPacketType.INITIAL:
+                return
+            if len(datagram) < QUIC_MIN_INITIAL_BYTES:
+                return
+            connection = self._open(header.destination_cid, peer)
+        connection.driver.receive(datagram, peer)
+
+    def _open(self, original_id: bytes, peer: Endpoint) -> _Connection:
+        quic = QuicConnection(
+            configuration=self.cfg, original_destination_connection_id=original_id
+        )
+        connection = _Connection(self, quic, peer)
+        self.add_id(original_id, connection)
+        self.add_id(quic.host_cid, connection)
+        self.nursery.start_soon(connection.driver.run_timer)
+        return connection
+
+    def _offer_versions(self, header: Any, peer: Endpoint) -> None:
+        if header.packet_type is QuicPacketType.VERSION_NEGOTIATION:
+            return
+        offer = encode_quic_version_negotiation(
+            source_cid=header.destination_cid,
+            destination_cid=header.source_cid,
+            supported_versions=self.cfg.supported_versions,
+        )
+        self.send(offer, peer)
+
+
+def read_request(headers: list[tuple[bytes, bytes]]) -> Http3Request:
+    """Read the head of a request."""
+    fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in headers}
+    target = urlsplit(fields.get(":path", "/"))
+    return Http3Request(fields.get(":method", ""), target.path, dict(parse_qsl(target.query)))
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/quic_driver.py
@@ -0,0 +1,54 @@
+"""Drive aioquic's connections, which do no I/O, by trio."""
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from aioquic.quic.connection import QuicConnection
+
+Send = Callable[[bytes], None]
+
+
+class QuicDriver:
+    """Pass datagrams, timers and events between one connection and its surroundings."""
+
+    def __init__(
+        self, quic: QuicConnection, send: Send, handle_event: Callable[[Any], None]
+    ) -> None:
+        self.quic = quic
+        self._send = send
+        self._handle_event = handle_event
+        self._changed = trio.Event()
+        self.closed = False
+
+    def receive(self, datagram: bytes, peer: tuple[str, int]) -> None:
+        """Take a datagram of the peer."""
+        self.quic.receive_datagram(datagram, peer, now=trio.current_time())
+        self.flush()
+
+    def flush(self) -> None:
+        """Handle events, send what is due and set the timer anew."""
+        self._handle_events()
+        for datagram, _ in self.quic.datagrams_to_send(now=trio.current_time()):
+            self._send(datagram)
+        self._changed.set()
+
+    def end(self) -> None:
+        """Stop the timer; the connection is over."""
+        self.closed = True
+        self._changed.set()
+
+    async def run_timer(self) -> None:
+        """Keep the connection's timer until it is over."""
+        while not self.closed:
+            self._changed = trio.Event()
+            timer = self.quic.get_timer()
+            with trio.move_on_at(float("inf") if timer is None else timer) as scope:
+                await self._changed.wait()
+            if scope.cancelled_caught and not self.closed:
+                self.quic.handle_timer(now=trio.current_time())
+                self.flush()
+
+    def _handle_events(self) -> None:
+        while not self.closed and (event := self.quic.next_event()) is not None:
+            self._handle_event(event)
--- a/packages/fescueseam-standins/src/fescueseam_standins/running.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/running.py
@@ -11,8 +11,6 @@
 
 GRACEFUL_TIMEOUT_S = 0.2
 KEEP_ALIVE_TIMEOUT_S = 60.0
-RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
-MAX_DATAGRAM_BYTES = 65535
 
 
 def run_until_stopped(work: Callable[[], Awaitable[None]]) -> None:
@@ -47,17 +45,3 @@
     async with trio.open_nursery() as nursery:
         urls = await nursery.start(serve, app, cfg)
         task_status.started(urls[0])
-
-
-async def open_udp_socket(address: str, port: int) -> trio.socket.SocketType:
-    """Return a UDP socket that is bound and has a large receive buffer."""
-    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    await sock.bind((address, port))
-    return sock
-
-
-def parse_endpoint(text: str) -> tuple[str, int]:
-    """Split "address:port" into its parts."""
-    address, _, port = text.rpartition(":")
-    return address.strip("[]"), int(port)
--- a/packages/fescueseam-standins/src/fescueseam_standins/tests/test_platform.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_platform.py
@@ -1,6 +1,7 @@
 import httpx
 import pytest
 import trio
+
 from fescueseam_standins.platform import PlatformServer, build_app
 from fescueseam_standins.platform_state import (
     LostReplyError,
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/__init__.py
@@ -0,0 +1,1 @@
+"""Run the decision cores on virtual time over an in-memory network."""
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/payloads.py
@@ -0,0 +1,89 @@
+"""Build callers' packets that carry the id of a call."""
+
+import struct
+from enum import Enum
+
+import dpkt
+from attrs import frozen
+
+from fescueseam.conf.models import ServiceClass, Transport
+from fescueseam.flows.keys import PROTOCOL_TCP, PROTOCOL_UDP, FlowKey
+from fescueseam.packets.adapter import (
+    QUIC_VERSION_1,
+    Packet,
+    build_ipv4_header,
+    build_udp,
+)
+
+_ID = struct.Struct(">QI")
+_TCP = struct.Struct(dpkt.tcp.TCP.__hdr_fmt__)
+_TCP_OFFSET = 5 << 12
+_TCP_WINDOW = 65535
+
+
+CLOSING_NUMBER = 2**32 - 1
+"""Number the packet by which a caller ends a flow."""
+
+
+@frozen
+class Stamp:
+    """Name the call that a packet belongs to, and the packet's number in it."""
+
+    call_id: int
+    number: int
+
+
+class Step(Enum):
+    """Tell where in its flow a packet stands."""
+
+    OPENING = "opening"
+    LATER = "later"
+    CLOSING = "closing"
+
+
+_QUIC_HEADERS = {
+    Step.OPENING: b"\xc0" + QUIC_VERSION_1,
+    Step.LATER: b"\x40" + bytes(4),
+    Step.CLOSING: b"\x40" + bytes(4),
+}
+_TCP_FLAGS = {
+    Step.OPENING: dpkt.tcp.TH_SYN,
+    Step.LATER: dpkt.tcp.TH_ACK,
+    Step.CLOSING: dpkt.tcp.TH_RST,
+}
+
+
+def make_flow(source: bytes, port: int, address: bytes, service_class: ServiceClass) -> FlowKey:
+    """Return the key of a flow from a caller's address and port to a class of a service."""
+    tcp = service_class.transport is Transport.TCP
+    protocol = PROTOCOL_TCP if tcp else PROTOCOL_UDP
+    return FlowKey(protocol, source, port, address, service_class.port)
+
+
+def build_packet(
+    flow: FlowKey, transport: Transport, call_id: int, step: Step, number: int = 0
+) -> bytes:
+    """Build a packet of a flow with a call's id and the packet's number in it."""
+    payload = _ID.pack(call_id, number)
+    if transport is Transport.TCP:
+        return _build_tcp(flow, payload, _TCP_FLAGS[step])
+    if transport is Transport.QUIC:
+        payload = _QUIC_HEADERS[step] + payload
+    return build_udp(
+        flow.source, flow.source_port, flow.destination, flow.destination_port, payload
+    )
+
+
+def read_stamp(packet: Packet) -> Stamp:
+    """Return the call's id and the packet's number in a packet."""
+    call_id, number = _ID.unpack(packet.payload[-_ID.size :])
+    return Stamp(call_id, number)
+
+
+def _build_tcp(flow: FlowKey, payload: bytes, flags: int) -> bytes:
+    segment = _TCP.pack(
+        flow.source_port, flow.destination_port, 0, 0, _TCP_OFFSET | flags, _TCP_WINDOW, 0, 0
+    )
+    length = len(segment) + len(payload)
+    header = build_ipv4_header(flow.source, flow.destination, PROTOCOL_TCP, length)
+    return header + segment + payload
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -0,0 +1,446 @@
+"""Join cores, backend servers, callers and the network on one timeline."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from attrs import define, evolve, field, frozen
+
+from fescueseam.conf.models import (
+    AdmissionRules,
+    Configuration,
+    DataCentreState,
+    EndpointRule,
+    Service,
+    ServiceClass,
+)
+from fescueseam.effects import Deliver, Observe, Refuse, Send
+from fescueseam.flows.keys import FlowKey
+from fescueseam.routing.table import Member, MemberState, Table
+from fescueseam.routing.view import View
+
+from .backend import Answer, Backend
+from .callers import Callers
+from .calls import Call
+from .cores import MakeEntry, MakeHome, make_entry, make_home
+from .deployments import Deployment
+from .hosts import AgentHost, EntryHost, Host, Life
+from .network import Network, Place
+from .payloads import Stamp, read_stamp
+from .timeline import Timeline
+
+TICK_S = 0.02
+REPORT_INTERVAL_S = 0.5
+CONTROL_PORT = 7000
+CALLERS = Place("callers")
+
+
+@frozen
+class Delivery:
+    """Note one packet that an agent handed to its backend server."""
+
+    time: float
+    agent: str
+    service: str
+    data_centre: str
+    call_id: int
+    number: int
+
+
+@frozen
+class Refusal:
+    """Note one refusal, and how often the call had run by then."""
+
+    time: float
+    process: str
+    call_id: int
+    kind: str
+    runs: int
+
+
+@frozen
+class Order:
+    """Note one thing that operators or a failure did."""
+
+    time: float
+    verb: str
+    subject: str
+
+
+@define(eq=False)
+class Journal:
+    """Hold what happened, for the checks."""
+
+    orders: list[Order] = field(factory=list)
+    openings: list[Delivery] = field(factory=list)
+    misdelivered: list[Delivery] = field(factory=list)
+    last_delivery: dict[str, float] = field(factory=dict)
+    """Tell for each data centre when a packet was last delivered into it."""
+    deliveries_out: list[Delivery] = field(factory=list)
+    """List deliveries into a data centre that is out."""
+    refusals: list[Refusal] = field(factory=list)
+    observed: list[Observe] = field(factory=list)
+    messages: Counter[str] = field(factory=Counter)
+
+
+@define(eq=False)
+class World:
+    """Run one deployment."""
+
+    deployment: Deployment
+    seed: int = 1
+    make_entry: MakeEntry = make_entry
+    make_home: MakeHome = make_home
+    ends_seen: bool = True
+    """Let agents see the end of a flow at once, not only by load reports."""
+    warm: bool = True
+    """Start with backend servers and agents that are warm."""
+    keep_observed: bool = False
+    timeline: Timeline = field(factory=Timeline)
+    rng: random.Random = field(init=False)
+    network: Network = field(init=False)
+    callers: Callers = field(init=False)
+    calls: dict[int, Call] = field(factory=dict)
+    journal: Journal = field(factory=Journal)
+    entries: dict[str, EntryHost] = field(factory=dict)
+    agents: dict[str, AgentHost] = field(factory=dict)
+    backends: dict[str, Backend] = field(factory=dict)
+    cfg: Configuration = field(init=False)
+    """Hold the configuration that operators last had accepted."""
+    tables: dict[str, Table] = field(factory=dict)
+    """Hold the newest table of each service."""
+    spray_choice: Callable[[list[EntryHost]], EntryHost] | None = None
+    before_ticks: list[Callable[[], None]] = field(factory=list)
+    _directory: dict[str, Host] = field(factory=dict)
+    _addresses: int = 0
+    _incarnations: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.network = Network(self.timeline, random.Random(self.seed + 1), self.deployment.delays)
+        self.callers = Callers(self)
+        self.cfg = self.deployment.configuration
+
+    def start(self) -> None:
+        """Start every process, with the same table and configuration in all views."""
+        members: dict[str, list[Member]] = {service.name: [] for service in self.cfg.services}
+        for plan in self.deployment.servers:
+            member = self._make_member(plan.name, plan.data_centre)
+            members[plan.service].append(member)
+        for service in self.cfg.services:
+            self.tables[service.name] = Table(
+                service.name,
+                1,
+                tuple(members[service.name]),
+                self.deployment.buckets,
+                self.deployment.seed,
+            )
+        for balancer in self.deployment.balancers:
+            self.start_entry(balancer.name, balancer.data_centre)
+        for plan in self.deployment.servers:
+            self.start_backend(plan.name, plan.service, plan.speed)
+            member = next(m for m in members[plan.service] if m.name == plan.name)
+            self.start_agent(member, plan.service)
+
+    # Processes
+
+    def start_entry(self, name: str, data_centre: str) -> EntryHost:
+        """Start a balancer that knows the newest configuration and tables."""
+        self._incarnations += 1
+        view = self._make_view()
+        host = EntryHost(
+            Place(name, data_centre),
+            view,
+            self,
+            core=self.make_entry(name, self._incarnations, view),
+        )
+        self.entries[name] = host
+        self.timeline.every(TICK_S, host.run_tick)
+        return host
+
+    def start_backend(self, name: str, service: str, speed: float = 1.0) -> Backend:
+        """Start a backend server."""
+        rules = self.find_service(service).admission
+        backend = Backend(name, service, rules, self.timeline, speed, started=self.timeline.now)
+        if self.warm and self.timeline.now == 0:
+            backend.warm_up()
+        self.backends[name] = backend
+        return backend
+
+    def start_agent(self, member: Member, service: str) -> AgentHost:
+        """Start an agent beside its backend server."""
+        view = self._make_view()
+        rules = self.find_service(service).admission
+        now = self.timeline.now
+        warm = self.warm and now == 0
+        # A warm world is one whose agents have run for long.
+        started = now - 1000.0 if warm else now
+        core = self.make_home(member, service, rules, view, started)
+        host = AgentHost(
+            Place(member.name, member.data_centre),
+            view,
+            self,
+            member=member,
+            core=core,
+            backend=self.backends[member.name],
+        )
+        self.agents[member.name] = host
+        self._directory[member.address] = host
+        if warm:
+            warm_up_core(core, rules)
+        host.probe()
+        self.timeline.every(TICK_S, host.run_tick)
+        self.timeline.every(REPORT_INTERVAL_S, lambda: self._poll(host))
+        return host
+
+    def restart_agent(self, name: str) -> AgentHost:
+        """Kill an agent and start it anew beside the living backend server."""
+        old = self.agents[name]
+        old.kill()
+        self._incarnations += 1
+        member = evolve(old.member, incarnation=self._incarnations)
+        return self.start_agent(member, old.backend.service)
+
+    def kill_server(self, name: str) -> None:
+        """Kill an instance: the backend server and the agent beside it."""
+        self.agents[name].kill()
+        self.backends[name].kill()
+        self.note("kill", name)
+
+    # Changes
+
+    def publish_configuration(self, cfg: Configuration, spread_s: float = 0.0) -> None:
+        """Accept a configuration; each process has it in force after its own delay."""
+        self.cfg = evolve(cfg, version=self.cfg.version + 1)
+        accepted = self.cfg
+        for host in self.list_hosts():
+            self._give(host, lambda view: view.set_configuration(accepted), spread_s)
+
+    def publish_table(self, table: Table, spread_s: float = 0.0) -> None:
+        """Publish the next epoch of a table; each process has it after its own delay."""
+        known = self.tables[table.service]
+        fresh = evolve(table, epoch=known.epoch + 1)
+        self.tables[table.service] = fresh
+        for host in self.list_hosts():
+            self._give(host, lambda view: view.set_table(fresh), spread_s)
+
+    def set_data_centre(self, name: str, state: DataCentreState, spread_s: float = 0.0) -> None:
+        """Take a data centre out or bring it back."""
+        centres = tuple(
+            evolve(item, state=state) if item.name == name else item
+            for item in self.cfg.data_centres
+        )
+        self.note(state.value, name)
+        self.publish_configuration(evolve(self.cfg, data_centres=centres), spread_s)
+
+    def drain_server(self, name: str, drain: bool = True, spread_s: float = 0.0) -> None:
+        """Drain a backend server by the operators' rule, or take that back."""
+        rules = [rule for rule in self.cfg.endpoints if rule.name != name]
+        rules += [EndpointRule(name, True)] if drain else []
+        self.note("drain" if drain else "undrain", name)
+        self.publish_configuration(evolve(self.cfg, endpoints=tuple(rules)), spread_s)
+
+    def set_member_state(self, name: str, state: MemberState, spread_s: float = 0.0) -> None:
+        """Change a member's state in the table of its service."""
+        table = self.find_table_of(name)
+        members = tuple(evolve(m, state=state) if m.name == name else m for m in table.members)
+        self.publish_table(evolve(table, members=members), spread_s)
+
+    def add_server(
+        self, name: str, service: str, data_centre: str, speed: float = 1.0, spread_s: float = 0.0
+    ) -> AgentHost:
+        """Start a new backend server with its agent and add it to the table."""
+        member = self._make_member(name, data_centre)
+        self.start_backend(name, service, speed)
+        host = self.start_agent(member, service)
+        table = self.tables[service]
+        self.publish_table(evolve(table, members=(*table.members, member)), spread_s)
+        return host
+
+    def remove_server(self, name: str, spread_s: float = 0.0) -> None:
+        """Remove a member from the table of its service."""
+        table = self.find_table_of(name)
+        members = tuple(member for member in table.members if member.name != name)
+        self.publish_table(evolve(table, members=members), spread_s)
+
+    def set_suspects(self, names: frozenset[str], spread_s: float = 0.0) -> None:
+        """Let every process suspect these members and no others."""
+        for host in self.list_hosts():
+            self._give(host, lambda view: view.set_suspects(names), spread_s)
+
+    # Traffic
+
+    def open_call(self, service: str, class_name: str, size_s: float) -> Call:
+        """Let a caller open one call."""
+        found = self.find_service(service)
+        service_class = next(item for item in found.classes if item.name == class_name)
+        return self.callers.open(found, service_class, size_s)
+
+    def open_poisson(
+        self, service: str, class_name: str, rate: float, mean_s: float, start: float, end: float
+    ) -> None:
+        """Let callers open calls at random times with exponential sizes."""
+        rng = random.Random(f"{self.seed}/{service}/{class_name}/{start}")
+        found = self.find_service(service)
+        service_class = next(item for item in found.classes if item.name == class_name)
+        self._schedule_next(found, service_class, rng, rate, mean_s, start, end)
+
+    def spray(self, raw: bytes) -> None:
+        """Hand a caller's packet to any living balancer, as the fabric does."""
+        hosts = [host for host in self.entries.values() if host.life is not Life.DEAD]
+        if not hosts:
+            return
+        choose = self.spray_choice
+        host = choose(hosts) if choose is not None else hosts[int(self.rng.random() * len(hosts))]
+        self.network.send(CALLERS, host.place, lambda: host.receive(lambda: host.take_packet(raw)))
+
+    def run_until(self, end: float) -> None:
+        """Run the world up to a time."""
+        self.timeline.run_until(end)
+
+    # What processes do
+
+    def carry_message(self, source: Place, effect: Send) -> None:
+        """Carry a message to whatever process has the address now."""
+        host = self._directory.get(effect.address)
+        if host is None:
+            return
+        message = effect.message
+        self.journal.messages[type(message.body).__name__] += 1
+        self.network.send(source, host.place, lambda: self._take(host, effect))
+
+    def carry_answer(self, source: Place, flow: FlowKey, answer: Answer) -> None:
+        """Carry an answer to its caller, past the balancers."""
+        self.network.send(source, CALLERS, lambda: self.callers.take_answer(flow, answer))
+
+    def refuse(self, source: Place, effect: Refuse) -> None:
+        """Carry a refusal to its caller."""
+        call_id = read_stamp(effect.packet).call_id
+        refusal = Refusal(
+            self.timeline.now, source.name, call_id, effect.kind.value, self.count_runs(call_id)
+        )
+        self.journal.refusals.append(refusal)
+        flow = effect.packet.flow
+        self.network.send(source, CALLERS, lambda: self.callers.take_refusal(flow, call_id))
+
+    def observe(self, effect: Observe) -> None:
+        """Keep an observation if anybody wants it."""
+        if self.keep_observed:
+            self.journal.observed.append(effect)
+
+    def note_delivery(self, host: AgentHost, effect: Deliver, stamp: Stamp) -> None:
+        """Note a packet that an agent hands to its backend server."""
+        centre = host.place.data_centre
+        service = host.backend.service
+        delivery = Delivery(
+            self.timeline.now, host.name, service, centre, stamp.call_id, stamp.number
+        )
+        self.journal.last_delivery[centre] = self.timeline.now
+        if stamp.number == 0:
+            self.journal.openings.append(delivery)
+        if self.calls[stamp.call_id].service != service:
+            self.journal.misdelivered.append(delivery)
+        if self.is_out(centre):
+            self.journal.deliveries_out.append(delivery)
+
+    # Questions
+
+    def count_runs(self, call_id: int) -> int:
+        """Return how often a call has run anywhere."""
+        return sum(backend.runs[call_id] for backend in self.backends.values())
+
+    def is_out(self, data_centre: str) -> bool:
+        """Tell whether operators have taken a data centre out, known everywhere or not."""
+        return any(
+            item.name == data_centre and item.state is DataCentreState.OUT
+            for item in self.cfg.data_centres
+        )
+
+    def find_service(self, name: str) -> Service:
+        """Return a service of the configuration."""
+        return next(item for item in self.cfg.services if item.name == name)
+
+    def find_table_of(self, member: str) -> Table:
+        """Return the table that lists a member."""
+        return next(
+            table
+            for table in self.tables.values()
+            if any(item.name == member for item in table.members)
+        )
+
+    def list_hosts(self) -> list[Host]:
+        """Return every process that is not dead."""
+        hosts: list[Host] = [*self.entries.values(), *self.agents.values()]
+        return [host for host in hosts if host.life is not Life.DEAD]
+
+    def find_host(self, name: str) -> Host:
+        """Return the newest process of a name."""
+        return self.entries[name] if name in self.entries else self.agents[name]
+
+    def note(self, verb: str, subject: str) -> None:
+        """Note what operators or a failure did."""
+        self.journal.orders.append(Order(self.timeline.now, verb, subject))
+
+    # Helpers
+
+    def _take(self, host: Host, effect: Send) -> None:
+        if isinstance(host, (AgentHost, EntryHost)):
+            host.receive(lambda: host.take_message(effect.message))
+
+    def _give(self, host: Host, change: Callable[[View], object], spread_s: float) -> None:
+        def take() -> None:
+            change(host.view)
+            if isinstance(host, AgentHost):
+                host.core.update_draining(host.backend.draining)
+
+        delay_s = self.rng.random() * spread_s
+        self.timeline.after(delay_s, lambda: host.receive(take))
+
+    def _poll(self, host: AgentHost) -> bool:
+        if host.life is Life.RUNNING:
+            host.probe()
+        return host.life is not Life.DEAD
+
+    def _make_view(self) -> View:
+        view = View()
+        view.set_configuration(self.cfg)
+        for table in self.tables.values():
+            view.set_table(table)
+        return view
+
+    def _make_member(self, name: str, data_centre: str) -> Member:
+        self._addresses += 1
+        self._incarnations += 1
+        number = self._addresses
+        address = f"10.60.{number // 250}.{number % 250 + 1}"
+        return Member(name, data_centre, address, CONTROL_PORT, self._incarnations)
+
+    def _schedule_next(
+        self,
+        service: Service,
+        service_class: ServiceClass,
+        rng: random.Random,
+        rate: float,
+        mean_s: float,
+        time: float,
+        end: float,
+    ) -> None:
+        time += rng.expovariate(rate)
+        if time >= end:
+            return
+        size_s = rng.expovariate(1 / mean_s)
+
+        def arrive() -> None:
+            self.callers.open(service, service_class, size_s)
+            self._schedule_next(service, service_class, rng, rate, mean_s, time, end)
+
+        self.timeline.at(time, arrive)
+
+
+def warm_up_core(core: object, rules: AdmissionRules) -> None:
+    """Lift the bounds of a core that has a gate to their full values."""
+    gate = getattr(getattr(core, "home", None), "gate", None)
+    if gate is None:
+        return
+    gate.slot_bound = rules.slots
+    gate._warm_since = float("-inf")
