Give the stand-ins the ports of the examples and count what they receive

The examples' agents return answers to port 6080 of the fabric, so callers now use 6081. Counts of received and encapsulated packets let a test tell when the last packet reached a data centre.

--- a/packages/fescueseam-standins/src/fescueseam_standins/backend.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend.py
@@ -39,6 +39,7 @@
         request_ports: list[int],
         stream_ports: list[int],
         udp_ports: list[int],
+        decapsulation_port: int = 0,
     ) -> None:
         """Open every port and begin to serve."""
         for port in request_ports:
@@ -48,6 +49,8 @@
         self._udp_socks = [DatagramSocket(address, port) for port in udp_ports]
         for sock in self._udp_socks:
             nursery.start_soon(self._serve_udp, nursery, sock)
+        self._decapsulation_sock = DatagramSocket(address, decapsulation_port)
+        nursery.start_soon(self._count_encapsulated, self._decapsulation_sock)
 
     def close(self) -> None:
         """Close every port."""
@@ -55,6 +58,7 @@
             server.close()
         for sock in self._udp_socks:
             sock.close()
+        self._decapsulation_sock.close()
 
     def list_sockets(self) -> list[DatagramSocket]:
         """Return the sockets for requests, streams and plain UDP, in this order."""
@@ -125,7 +129,9 @@
         port: int,
         track: Callable[[], ConnectionHooks],
     ) -> None:
-        server = Http3Server(self._credentials, self.handle, track, self.is_silent)
+        server = Http3Server(
+            self._credentials, self.handle, track, self.is_silent, self._note_received
+        )
         await server.start(nursery, address, port)
         self._servers.append(server)
 
@@ -161,9 +167,18 @@
 
         return ConnectionHooks(begin, finish, end)
 
+    def _note_received(self) -> None:
+        self.state.counts.received += 1
+
+    async def _count_encapsulated(self, sock: DatagramSocket) -> None:
+        while True:
+            await sock.receive()
+            self.state.counts.encapsulated += 1
+
     async def _serve_udp(self, nursery: trio.Nursery, sock: DatagramSocket) -> None:
         while True:
             datagram, peer = await sock.receive()
+            self._note_received()
             if not self.is_silent():
                 nursery.start_soon(self._answer_datagram, sock, datagram, peer)
 
@@ -217,7 +232,8 @@
     request_port: Annotated[list[int] | None, typer.Option(help="HTTP/3 requests")] = None,
     stream_port: Annotated[list[int] | None, typer.Option(help="HTTP/3 streams")] = None,
     udp_port: Annotated[list[int] | None, typer.Option(help="plain UDP requests")] = None,
-    load_port: int = 8080,
+    decapsulation_port: int = 6081,
+    load_port: int = 7480,
     slots: int = 2,
     connections: int = 2000,
     cold_slots: int = 1,
@@ -249,7 +265,12 @@
         server = BackendServer(BackendState(cfg, make_incarnation(), trio.current_time()))
         async with trio.open_nursery() as nursery:
             await server.start(
-                nursery, address, request_port or [], stream_port or [], udp_port or []
+                nursery,
+                address,
+                request_port or [],
+                stream_port or [],
+                udp_port or [],
+                decapsulation_port,
             )
             await serve_http(build_app(server), address, load_port)
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/backend_state.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend_state.py
@@ -47,6 +47,10 @@
 class BackendCounts:
     """Count what proves or disproves the promises made to a backend server."""
 
+    received: int = 0
+    """Count datagrams of flows."""
+    encapsulated: int = 0
+    """Count encapsulated TCP packets, which the stand-in does not answer."""
     overloads: int = 0
     shed: int = 0
     opened: int = 0
--- a/packages/fescueseam-standins/src/fescueseam_standins/caller.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/caller.py
@@ -190,7 +190,7 @@
     path: str = "/echo",
     method: str = "GET",
     service: str = "service",
-    fabric: str = "127.0.0.2:6080",
+    fabric: str = "127.0.0.2:6081",
     bind_address: str = "127.0.0.3",
     inner_address: str = "10.9.0.1",
     count: int = 1,
--- a/packages/fescueseam-standins/src/fescueseam_standins/fabric.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/fabric.py
@@ -31,9 +31,9 @@
     """Hold where the fabric listens and how it treats packets."""
 
     address: str
-    port: int = 6080
+    port: int = 6081
     """Receive callers' packets on this UDP port."""
-    return_port: int = 6081
+    return_port: int = 6080
     """Receive answers on this UDP port."""
     duplicate_rate: float = 0.0
     reorder_rate: float = 0.0
@@ -201,8 +201,8 @@
 
 def main(
     address: str = "127.0.0.2",
-    port: int = 6080,
-    return_port: int = 6081,
+    port: int = 6081,
+    return_port: int = 6080,
     control_port: int = 7001,
     balancer: Annotated[list[str] | None, typer.Option(help="address:port, repeatable")] = None,
     duplicate_rate: float = 0.0,
--- a/packages/fescueseam-standins/src/fescueseam_standins/http3_server.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/http3_server.py
@@ -140,6 +140,7 @@
         handler: Handler,
         open_connection: Callable[[], ConnectionHooks],
         is_silent: Callable[[], bool],
+        note_received: Callable[[], None],
     ) -> None:
         self.cfg = QuicConfiguration(
             is_client=False, alpn_protocols=[HTTP3_ALPN], idle_timeout=IDLE_TIMEOUT_S
@@ -149,6 +150,7 @@
         self.handler = handler
         self.open_connection = open_connection
         self._is_silent = is_silent
+        self._note_received = note_received
         self._connections: dict[bytes, _Connection] = {}
 
     async def start(self, nursery: trio.Nursery, address: str, port: int) -> None:
@@ -190,6 +192,7 @@
     async def _receive(self) -> None:
         while True:
             datagram, peer = await self.sock.receive()
+            self._note_received()
             if not self._is_silent():
                 self._take(datagram, peer)
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/platform.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/platform.py
@@ -196,7 +196,7 @@
     return run
 
 
-def main(address: str = "127.0.0.1", port: int = 7000) -> None:
+def main(address: str = "127.0.0.1", port: int = 7400) -> None:
     """Serve the object API until SIGTERM."""
     app = build_app(PlatformServer(PlatformState()))
     run_until_stopped(lambda: serve_http(app, address, port))
--- a/packages/fescueseam/src/fescueseam/packets/tests/test_adapter.py
+++ b/packages/fescueseam/src/fescueseam/packets/tests/test_adapter.py
@@ -2,6 +2,9 @@
 
 import dpkt
 import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
 from fescueseam.conf.models import Transport
 from fescueseam.exceptions import ErrorKind, PacketError
 from fescueseam.flows.keys import PROTOCOL_TCP, PROTOCOL_UDP
@@ -14,8 +17,6 @@
     find_phase,
     parse_packet,
 )
-from hypothesis import given, seed, settings
-from hypothesis import strategies as st
 
 SOURCE = socket.inet_pton(socket.AF_INET, "10.9.0.7")
 SERVICE = socket.inet_pton(socket.AF_INET, "10.1.0.1")
--- a/packages/fescueseam/src/fescueseam/packets/tests/test_refusals.py
+++ b/packages/fescueseam/src/fescueseam/packets/tests/test_refusals.py
@@ -6,11 +6,12 @@
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import ConnectionTerminated
 from aioquic.quic.packet import QuicErrorCode, QuicProtocolVersion
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
 from fescueseam.conf.models import Transport
 from fescueseam.packets.adapter import build_udp, parse_packet
 from fescueseam.packets.refusals import build_quic_refusal, build_refusal
-from hypothesis import given, seed, settings
-from hypothesis import strategies as st
 
 SOURCE = socket.inet_pton(socket.AF_INET, "10.9.0.7")
 SERVICE = socket.inet_pton(socket.AF_INET, "10.1.0.1")
