--- a/packages/fescueseam-standins/src/fescueseam_standins/world/deployments.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/deployments.py
@@ -41,7 +41,7 @@
     configuration: Configuration
     balancers: tuple[BalancerPlan, ...]
     servers: tuple[ServerPlan, ...]
-    delays: Delays = Delays()
+    delays: Delays
     buckets: int = 64
     seed: int = 7
     """Seed the buckets of every table."""
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -1,10 +1,9 @@
 """Join cores, backend servers, callers and the network on one timeline."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from fescueseam.conf.models import (
     AdmissionRules,
@@ -25,6 +24,7 @@
 from .cores import MakeEntry, MakeHome, make_entry, make_home
 from .deployments import Deployment
 from .hosts import AgentHost, EntryHost, Host, Life
+from .journal import Delivery, Journal, Order, Refusal
 from .network import Network, Place
 from .payloads import Stamp, read_stamp
 from .timeline import Timeline
@@ -32,57 +32,12 @@
 TICK_S = 0.02
 REPORT_INTERVAL_S = 0.5
 CONTROL_PORT = 7000
+WARM_START = -1000.0
+WARM_TICKS = (-1.6, -0.8)
+"""Tick warm agents at these times, so that their long past is not taken for a pause."""
 CALLERS = Place("callers")
 
 
-@frozen
-class Delivery:
-    """Note one packet that an agent handed to its backend server."""
-
-    time: float
-    agent: str
-    service: str
-    data_centre: str
-    call_id: int
-    number: int
-
-
-@frozen
-class Refusal:
-    """Note one refusal, and how often the call had run by then."""
-
-    time: float
-    process: str
-    call_id: int
-    kind: str
-    runs: int
-
-
-@frozen
-class Order:
-    """Note one thing that operators or a failure did."""
-
-    time: float
-    verb: str
-    subject: str
-
-
-@define(eq=False)
-class Journal:
-    """Hold what happened, for the checks."""
-
-    orders: list[Order] = field(factory=list)
-    openings: list[Delivery] = field(factory=list)
-    misdelivered: list[Delivery] = field(factory=list)
-    last_delivery: dict[str, float] = field(factory=dict)
-    """Tell for each data centre when a packet was last delivered into it."""
-    deliveries_out: list[Delivery] = field(factory=list)
-    """List deliveries into a data centre that is out."""
-    refusals: list[Refusal] = field(factory=list)
-    observed: list[Observe] = field(factory=list)
-    messages: Counter[str] = field(factory=Counter)
-
-
 @define(eq=False)
 class World:
     """Run one deployment."""
@@ -174,7 +129,7 @@
         now = self.timeline.now
         warm = self.warm and now == 0
         # A warm world is one whose agents have run for long.
-        started = now - 1000.0 if warm else now
+        started = WARM_START if warm else now
         core = self.make_home(member, service, rules, view, started)
         host = AgentHost(
             Place(member.name, member.data_centre),
@@ -188,6 +143,8 @@
         self._directory[member.address] = host
         if warm:
             warm_up_core(core, rules)
+            for time in WARM_TICKS:
+                host.apply(core.tick(time))
         host.probe()
         self.timeline.every(TICK_S, host.run_tick)
         self.timeline.every(REPORT_INTERVAL_S, lambda: self._poll(host))
