Run nothing twice when a home forgets, and free slots by report

Cause: a recorder that was told 'not here' treated the flow as new; behind a restarted home a duplicate of a request that may not be repeated ran again (its own grants did not stop it). Ruled out: longer grants; the same recorder holds them. Change: a recorder remembers flows it placed whose home is gone; 'not here' gives the packet back; a report frees the slot of a silent flow but ends no flow, because reports lag; two view changes between two looks unsettle every bucket.

--- a/packages/fescueseam/src/fescueseam/admission/gate.py
+++ b/packages/fescueseam/src/fescueseam/admission/gate.py
@@ -11,6 +11,9 @@
 UTILISATION_TIME_S = 10.0
 """Average the utilisation over about this time, in seconds."""
 
+REPORT_FRESH_S = 0.05
+"""Ask for no further report within this time after one, in seconds."""
+
 FOREIGN_LOAD_S = 60.0
 """Count load reported beyond the agent's own flows for this long after its start, in seconds."""
 
@@ -84,6 +87,10 @@
         """Tell whether the bound on slots has reached its full value."""
         return self.slot_bound >= self.rules.slots
 
+    def is_stale(self, now: float) -> bool:
+        """Tell whether a fresh report is worth asking for."""
+        return not self.draining and self._verified + REPORT_FRESH_S < now
+
     def bound_connections(self, now: float) -> int:
         """Return the bound on streams, which grows with time."""
         cold = min(self.rules.cold_connections, self.rules.connections)
--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -6,7 +6,7 @@
 from fescueseam.agent.home import HOLD_S, Home, Offer
 from fescueseam.claims.registry import ClaimRegistry
 from fescueseam.conf.models import AdmissionRules, ServiceClass
-from fescueseam.effects import Drop, Effects, Send
+from fescueseam.effects import Drop, Effects, Probe, Send
 from fescueseam.exceptions import ErrorKind, FescueseamError, MessageError, PacketError
 from fescueseam.flows.keys import FlowKey, compute_bucket
 from fescueseam.messages import types
@@ -115,8 +115,8 @@
             case types.Full():
                 return self.recorder.handle_full(message.sender, body, now)
             case types.NotHere():
-                self.recorder.handle_not_here(message.sender, body.flow)
-                return []
+                packet, service_class = self._read_packet(body.packet)
+                return self.recorder.handle_not_here(message.sender, packet, service_class, now)
             case types.Ask():
                 return self._take_ask(message, body, now)
             case types.AskAnswer():
@@ -139,7 +139,7 @@
             adopted = self.home.adopt(packet, service_class, now)
             if adopted is not None:
                 return adopted
-            return [self._answer(message, types.NotHere(packet.flow))]
+            return [self._answer(message, types.NotHere(packet.flow, packet.raw))]
         if packet.flow in self.home.held:
             return [Drop(ErrorKind.DUPLICATE_OPENING, service_class.name)]
         relayed = self._relay(message, packet)
@@ -190,7 +190,9 @@
         if verdict is Verdict.VERIFY:
             return self.home.hold(offer)
         self._waiters[offer.recorder] = now + offer.service_class.wait_s
-        return self._tell_full(offer, now)
+        # What the agent cannot see, the end of a QUIC flow, the backend server may report.
+        stale = self.home.gate.is_stale(now)
+        return self._tell_full(offer, now) + ([Probe()] if stale else [])
 
     def _take_ask(self, message: types.Message, body: types.Ask, now: float) -> Effects:
         table = self.view.find_table(self.service)
--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -18,7 +18,7 @@
 HOLD_S = 0.2
 """Bound the wait for the backend server's report before an opening is turned down."""
 RECONCILE_IDLE_S = 0.25
-"""End a flow that the backend server no longer reports only if it was silent this long."""
+"""Free the slot of a flow that is no longer reported only if it was silent this long."""
 ADOPT_S = 30.0
 """Adopt flows that a recorder holds this agent for the home of, this long after a start."""
 TCP_FIN = 0x01
@@ -101,7 +101,7 @@
             if self.flows.has_run(packet.flow, now):
                 return [Drop(ErrorKind.DUPLICATE_OPENING)]
             return None
-        record.last_seen = now
+        self._note_activity(record, now)
         record.finishing = record.finishing or bool(packet.tcp_flags & TCP_FIN)
         effects: Effects = [Deliver(packet.flow, record.service_class, packet)]
         if find_phase(packet, record.service_class.transport) is Phase.CLOSING:
@@ -110,7 +110,7 @@
 
     def adopt(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects | None:
         """Take over a flow of an earlier incarnation of this agent, soon after a start."""
-        if now > self.started + ADOPT_S or (self.gate.draining and not self.flows):
+        if now > self.started + ADOPT_S:
             return None
         if find_phase(packet, service_class.transport) is not Phase.ESTABLISHED:
             return None
@@ -122,14 +122,15 @@
         """Note that the backend server has answered."""
         record = self.flows.find(flow)
         if record is not None:
-            record.last_seen = now
+            self._note_activity(record, now)
 
     def close(self, flow: FlowKey, success: bool, now: float) -> Effects:
         """Close a flow and give its slot or connection back."""
         record = self.flows.remove(flow)
         if record is None:
             return []
-        self.gate.give_back(record.service_class.kind, success, now)
+        if record.counted:
+            self.gate.give_back(record.service_class.kind, success, now)
         if not record.service_class.repeatable:
             self.flows.quarantine(flow, now + PACKET_LIFETIME_S)
         life_s = now - record.opened
@@ -152,7 +153,8 @@
         restarted = self.gate.note_report(report, now)
         if restarted:
             return self.close_all(now)
-        return self._reconcile(report, now)
+        self._reconcile(report, now)
+        return []
 
     def expire(self, now: float) -> Effects:
         """Close flows that have been idle for too long."""
@@ -162,19 +164,25 @@
                 effects += self.close(record.key, True, now)
         return effects
 
-    def _reconcile(self, report: LoadReport, now: float) -> Effects:
-        # A report can lag and mislead: at a server that is warming up it ends nothing.
-        excess = len(self.flows) - report.connections
-        if excess <= 0 or not self.gate.is_warm():
-            return []
+    def _note_activity(self, record: FlowRecord, now: float) -> None:
+        record.last_seen = now
+        if not record.counted:
+            record.counted = True
+            self.gate.take(record.service_class.kind, now)
+
+    def _reconcile(self, report: LoadReport, now: float) -> None:
+        # A report can lag and mislead. It frees a slot but ends no flow, and at a server that is
+        # warming up it frees nothing.
+        if not self.gate.is_warm():
+            return
+        counted = [record for record in self.flows if record.counted]
+        requests = [record for record in counted if record.service_class.kind is FlowKind.REQUEST]
+        streams = len(counted) - len(requests)
+        excess = len(requests) - max(report.busy, report.connections - streams)
         silent = [
-            record
-            for record in self.flows
-            if record.last_seen + RECONCILE_IDLE_S <= report.requested
-            and record.service_class.kind is FlowKind.REQUEST
+            record for record in requests if record.last_seen + RECONCILE_IDLE_S <= report.requested
         ]
         silent.sort(key=lambda record: record.last_seen)
-        effects: Effects = []
-        for record in silent[:excess]:
-            effects += self.close(record.key, True, now)
-        return effects
+        for record in silent[: max(0, excess)]:
+            record.counted = False
+            self.gate.give_back(FlowKind.REQUEST, True, now)
--- a/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
+++ b/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
@@ -1,5 +1,6 @@
 from attrs import evolve
 
+from fescueseam.admission.gate import Gate, LoadReport, Verdict
 from fescueseam.agent.tests.conftest import (
     ONCE_PORT,
     REQUEST_PORT,
@@ -8,7 +9,7 @@
     build_packet,
 )
 from fescueseam.claims.registry import PACKET_LIFETIME_S
-from fescueseam.conf.models import Configuration, DataCentreState
+from fescueseam.conf.models import AdmissionRules, Configuration, DataCentreState, FlowKind
 from fescueseam.exceptions import ErrorKind
 from fescueseam.messages import types
 from fescueseam.messages.types import Message
@@ -175,3 +176,58 @@
     place = Message("server-1", 1, types.Place(1, raw), 0, "server-0", "bitacora", "once", 1, 1)
     cluster.run("server-0", agent.handle_message(place, cluster.now + 5.0))
     assert not cluster.opened
+
+
+def test_flow_that_ran_at_a_restarted_home_does_not_run_again(cluster: Cluster) -> None:
+    raw = build_packet(ONCE_PORT, 1)
+    cluster.send(raw)
+    home, _ = cluster.opened[0]
+    agent = cluster.start(home, incarnation=2)
+    for other in cluster.agents.values():
+        agent.view.set_configuration(other.view.cfg)
+        for table in other.view.list_tables():
+            agent.view.set_table(table)
+    cluster.send(raw)
+    cluster.advance(1.0)
+    cluster.send(raw)
+    assert len(cluster.opened) == 1
+    assert not cluster.refused
+
+
+def test_port_used_again_opens_a_new_flow(cluster: Cluster) -> None:
+    raw = build_packet(REQUEST_PORT, 1)
+    cluster.send(raw)
+    cluster.close_flow(*cluster.opened[0])
+    cluster.send(raw)
+    assert len(cluster.opened) == 2
+
+
+def test_reported_end_frees_a_slot_but_cuts_no_flow(cluster: Cluster) -> None:
+    raw = build_packet(REQUEST_PORT, 1)
+    cluster.send(raw)
+    name, _ = cluster.opened[0]
+    home = cluster.agents[name].home
+    cluster.advance(0.5)
+    report = LoadReport(1, 0, 0, cluster.now, 5000.0)
+    cluster.run(name, cluster.agents[name].handle_report(report, cluster.now))
+    assert home.gate.busy == 0
+    cluster.send(build_packet(REQUEST_PORT, 1, b"more"))
+    assert home.gate.busy == 1
+    assert len(cluster.delivered) == 2
+    assert len(cluster.opened) == 1
+
+
+def test_silent_restart_returns_the_gate_to_the_cold_bound(cluster: Cluster) -> None:
+    rules = AdmissionRules(slots=4, cold_slots=1, warm_up_successes=1)
+    gate = Gate(rules, cluster.now)
+    gate.note_report(LoadReport(1, 0, 0, cluster.now, 10.0), cluster.now)
+    for _ in range(3):
+        gate.take(FlowKind.REQUEST, cluster.now)
+        gate.give_back(FlowKind.REQUEST, True, cluster.now)
+    assert gate.slot_bound == 4
+    gate.take(FlowKind.REQUEST, cluster.now)
+    arrived = cluster.now + 1.0
+    assert gate.judge(FlowKind.REQUEST, arrived, arrived) is Verdict.VERIFY
+    assert gate.note_report(LoadReport(1, 0, 0, arrived, 0.1), arrived)
+    assert gate.slot_bound == 1
+    assert gate.judge(FlowKind.REQUEST, arrived, arrived) is Verdict.FULL
--- a/packages/fescueseam/src/fescueseam/flows/table.py
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -22,6 +22,8 @@
     opened: float
     last_seen: float
     finishing: bool = False
+    counted: bool = True
+    """Tell whether the flow still takes its slot or connection."""
 
     def is_idle(self, now: float) -> bool:
         """Tell whether the flow has been silent for so long that it is taken for ended."""
--- a/packages/fescueseam/src/fescueseam/messages/codec.py
+++ b/packages/fescueseam/src/fescueseam/messages/codec.py
@@ -2,12 +2,13 @@
 
 import hashlib
 import hmac
+from collections import OrderedDict
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import capnp
-from attrs import frozen
+from attrs import field, frozen
 
 from fescueseam.conf.models import KeySettings
 from fescueseam.exceptions import ErrorKind, MessageError
@@ -17,8 +18,12 @@
 PROTOCOL_VERSION = 1
 DATAGRAM_LIMIT_BYTES = 9000
 TAG_BYTES = 16
+WORD_BYTES = 8
 ADDRESS_LENGTHS_BYTES = (4, 16)
 TRAVERSAL_LIMIT_WORDS = 1 << 16
+HEADERS_LIMIT = 512
+"""Bound the headers of carries that are kept."""
+_PACKET_BODIES = (types.Carry, types.Place)
 
 capnp.remove_import_hook()
 _schema: Any = capnp.load(str(Path(__file__).with_name("schema.capnp")))
@@ -30,6 +35,44 @@
 
     signing_id: int
     secrets: dict[int, bytes]
+    _headers: OrderedDict[tuple[object, ...], Any] = field(
+        factory=OrderedDict, init=False, eq=False, repr=False
+    )
+    """Keep the builders of headers that recur, because building one costs most of a carry."""
+    _states: dict[int, Any] = field(init=False, eq=False, repr=False)
+
+    @_states.default
+    def _key_states(self) -> dict[int, Any]:
+        return {
+            key_id: hashlib.blake2b(key=key, digest_size=TAG_BYTES)
+            for key_id, key in self.secrets.items()
+        }
+
+    def compute_tag(self, key_id: int, sealed: bytes) -> bytes:
+        """Return the authentication tag by one of the keys."""
+        state = self._states[key_id].copy()
+        state.update(sealed)
+        return bytes(state.digest())
+
+    def find_header(self, message: types.Message, body: types.Carry) -> Any:
+        """Return the builder of a carry's header; only sequence and size are left to set."""
+        key = (
+            message.target,
+            message.class_name,
+            message.service,
+            message.epoch,
+            message.config_version,
+            message.sender,
+            message.incarnation,
+            body.homed,
+        )
+        header = self._headers.get(key)
+        if header is None:
+            header = self._headers[key] = _build(message, self)
+            if len(self._headers) > HEADERS_LIMIT:
+                self._headers.popitem(last=False)
+        header.clear_write_flag()
+        return header
 
 
 def build_keyring(keys: tuple[KeySettings, ...]) -> Keyring:
@@ -44,34 +87,23 @@
     return hashlib.blake2b(secret.encode(), digest_size=32, person=b"fescueseam").digest()
 
 
-def compute_tag(key: bytes, body: bytes) -> bytes:
-    """Return the authentication tag of a body."""
-    return hashlib.blake2b(body, key=key, digest_size=TAG_BYTES).digest()
-
-
-def encode_message(message: types.Message, keyring: Keyring) -> bytes:
-    """Return the sealed datagram of a message; raise MessageError if it is too large."""
-    raw = _schema.Message.new_message(
-        sender=message.sender,
-        incarnation=message.incarnation,
-        sequence=message.sequence,
-        target=message.target,
-        service=message.service,
-        className=message.class_name,
-        epoch=message.epoch,
-        configVersion=message.config_version,
-    )
-    _WRITERS[type(message.body)](raw.body, message.body)
-    body = raw.to_bytes()
-    sealed = _schema.Sealed.new_message(
-        protocolVersion=PROTOCOL_VERSION,
-        keyId=keyring.signing_id,
-        tag=compute_tag(keyring.secrets[keyring.signing_id], body),
-        body=body,
-    ).to_bytes()
-    if len(sealed) > DATAGRAM_LIMIT_BYTES:
+def encode_message(message: types.Message, keyring: Keyring, sequence: int | None = None) -> bytes:
+    """Return the sealed datagram of a message; raise MessageError if it is too large.
+
+    A sequence given apart spares the caller a copy of the message.
+    """
+    body = message.body
+    packet = body.packet if isinstance(body, _PACKET_BODIES) else b""
+    if isinstance(body, types.Carry):
+        raw = keyring.find_header(message, body)
+    else:
+        raw = _build(message, keyring)
+    raw.sequence = message.sequence if sequence is None else sequence
+    raw.packetBytes = len(packet)
+    sealed: bytes = raw.to_bytes() + packet
+    if TAG_BYTES + len(sealed) > DATAGRAM_LIMIT_BYTES:
         raise MessageError(f"{len(sealed)} bytes", ErrorKind.OVERSIZE_DATAGRAM)
-    return bytes(sealed)
+    return keyring.compute_tag(keyring.signing_id, sealed) + sealed
 
 
 def decode_message(datagram: bytes, keyring: Keyring) -> types.Message:
@@ -79,42 +111,57 @@
     if len(datagram) > DATAGRAM_LIMIT_BYTES:
         raise MessageError(f"{len(datagram)} bytes", ErrorKind.OVERSIZE_DATAGRAM)
     try:
-        return _read_message(_open_sealed(datagram, keyring))
+        return _open(datagram[:TAG_BYTES], datagram[TAG_BYTES:], keyring)
     except MessageError:
         raise
     except Exception as exc:  # the codec raises several unrelated classes on garbage
         raise MessageError(str(exc).partition("\n")[0]) from exc
 
 
-def _open_sealed(datagram: bytes, keyring: Keyring) -> bytes:
-    with _schema.Sealed.from_bytes(
-        datagram, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-    ) as sealed:
-        if sealed.protocolVersion != PROTOCOL_VERSION:
-            raise MessageError(str(sealed.protocolVersion), ErrorKind.WRONG_PROTOCOL_VERSION)
-        key = keyring.secrets.get(sealed.keyId)
-        if key is None:
-            raise MessageError(f"key {sealed.keyId}", ErrorKind.BAD_AUTHENTICATION)
-        body = bytes(sealed.body)
-        if not hmac.compare_digest(compute_tag(key, body), bytes(sealed.tag)):
+def _build(message: types.Message, keyring: Keyring) -> Any:
+    raw = _schema.Message.new_message(
+        protocolVersion=PROTOCOL_VERSION,
+        keyId=keyring.signing_id,
+        sender=message.sender,
+        incarnation=message.incarnation,
+        target=message.target,
+        service=message.service,
+        className=message.class_name,
+        epoch=message.epoch,
+        configVersion=message.config_version,
+    )
+    _WRITERS[type(message.body)](raw.body, message.body)
+    return raw
+
+
+def _open(tag: bytes, sealed: bytes, keyring: Keyring) -> types.Message:
+    # The reader wants whole words; the bytes beyond them can only be the packet's.
+    words = sealed[: len(sealed) // WORD_BYTES * WORD_BYTES]
+    with _schema.Message.from_bytes(words, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS) as raw:
+        if raw.protocolVersion != PROTOCOL_VERSION:
+            raise MessageError(str(raw.protocolVersion), ErrorKind.WRONG_PROTOCOL_VERSION)
+        key_id = raw.keyId
+        if key_id not in keyring.secrets:
+            raise MessageError(f"key {key_id}", ErrorKind.BAD_AUTHENTICATION)
+        if not hmac.compare_digest(keyring.compute_tag(key_id, sealed), tag):
             raise MessageError("tag", ErrorKind.BAD_AUTHENTICATION)
-        return body
-
-
-def _read_message(body: bytes) -> types.Message:
-    with _schema.Message.from_bytes(body, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS) as raw:
-        which = str(raw.body.which())
-        return types.Message(
-            sender=raw.sender,
-            incarnation=raw.incarnation,
-            sequence=raw.sequence,
-            target=raw.target,
-            service=raw.service,
-            class_name=raw.className,
-            epoch=raw.epoch,
-            config_version=raw.configVersion,
-            body=_READERS[which](getattr(raw.body, which)),
-        )
+        return _read_message(raw, sealed)
+
+
+def _read_message(raw: Any, sealed: bytes) -> types.Message:
+    which = str(raw.body.which())
+    packet = sealed[len(sealed) - raw.packetBytes :]
+    return types.Message(
+        sender=raw.sender,
+        incarnation=raw.incarnation,
+        sequence=raw.sequence,
+        target=raw.target,
+        service=raw.service,
+        class_name=raw.className,
+        epoch=raw.epoch,
+        config_version=raw.configVersion,
+        body=_READERS[which](getattr(raw.body, which), packet),
+    )
 
 
 def _write_flow(raw: Any, flow: FlowKey) -> None:
@@ -146,15 +193,11 @@
 
 
 def _write_carry(raw: Any, body: types.Carry) -> None:
-    carry = raw.init("carry")
-    carry.packet = body.packet
-    carry.homed = body.homed
+    raw.init("carry").homed = body.homed
 
 
 def _write_place(raw: Any, body: types.Place) -> None:
-    place = raw.init("place")
-    place.attempt = body.attempt
-    place.packet = body.packet
+    raw.init("place").attempt = body.attempt
 
 
 def _write_outcome(field_name: str) -> Callable[[Any, Any], None]:
@@ -167,11 +210,14 @@
     return write
 
 
-def _write_bare_flow(field_name: str) -> Callable[[Any, Any], None]:
-    def write(raw: Any, body: types.NotHere | types.Release) -> None:
-        _write_flow(raw.init(field_name), body.flow)
+def _write_not_here(raw: Any, body: types.NotHere) -> None:
+    answer = raw.init("notHere")
+    _write_flow(answer.flow, body.flow)
+    answer.packet = body.packet
 
-    return write
+
+def _write_release(raw: Any, body: types.Release) -> None:
+    _write_flow(raw.init("release"), body.flow)
 
 
 def _write_ask(raw: Any, body: types.Ask) -> None:
@@ -286,34 +332,50 @@
     return types.GossipValues(values, raw.partial)
 
 
+def _write_keys(raw: Any, body: types.GossipKeys) -> None:
+    message = raw.init("gossipKeys")
+    message.group = body.group
+    message.reply = body.reply
+    for slot, entry in zip(message.init("entries", len(body.entries)), body.entries, strict=True):
+        slot.keyHash = entry.key_hash
+        slot.version = entry.version
+
+
+def _read_keys(raw: Any) -> types.GossipKeys:
+    entries = tuple(types.KeyVersion(entry.keyHash, entry.version) for entry in raw.entries)
+    return types.GossipKeys(raw.group, entries, raw.reply)
+
+
 _WRITERS: dict[type, Callable[[Any, Any], None]] = {
     types.Carry: _write_carry,
     types.Place: _write_place,
     types.Placed: _write_outcome("placed"),
     types.Full: _write_outcome("full"),
-    types.NotHere: _write_bare_flow("notHere"),
+    types.NotHere: _write_not_here,
     types.Ask: _write_ask,
     types.AskAnswer: _write_ask_answer,
-    types.Release: _write_bare_flow("release"),
+    types.Release: _write_release,
     types.Free: _write_free,
     types.Announce: _write_announce,
     types.AnnounceAnswer: _write_announce_answer,
     types.GossipDigest: _write_digest,
     types.GossipValues: _write_values,
+    types.GossipKeys: _write_keys,
 }
 
-_READERS: dict[str, Callable[[Any], types.Body]] = {
-    "carry": lambda raw: types.Carry(bytes(raw.packet), raw.homed),
-    "place": lambda raw: types.Place(raw.attempt, bytes(raw.packet)),
-    "placed": lambda raw: types.Placed(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
-    "full": lambda raw: types.Full(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
-    "notHere": lambda raw: types.NotHere(_read_flow(raw)),
-    "ask": lambda raw: types.Ask(_read_flow(raw.flow), raw.claim),
-    "askAnswer": lambda raw: types.AskAnswer(_read_flow(raw.flow), raw.holds, raw.granted),
-    "release": lambda raw: types.Release(_read_flow(raw)),
-    "free": lambda raw: types.Free(_read_load(raw)),
-    "announce": _read_announce,
-    "announceAnswer": _read_announce_answer,
-    "gossipDigest": lambda raw: types.GossipDigest(tuple(raw.groups), raw.reply),
-    "gossipValues": _read_values,
+_READERS: dict[str, Callable[[Any, bytes], types.Body]] = {
+    "carry": lambda raw, packet: types.Carry(packet, raw.homed),
+    "place": lambda raw, packet: types.Place(raw.attempt, packet),
+    "placed": lambda raw, _: types.Placed(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
+    "full": lambda raw, _: types.Full(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
+    "notHere": lambda raw, _: types.NotHere(_read_flow(raw.flow), bytes(raw.packet)),
+    "ask": lambda raw, _: types.Ask(_read_flow(raw.flow), raw.claim),
+    "askAnswer": lambda raw, _: types.AskAnswer(_read_flow(raw.flow), raw.holds, raw.granted),
+    "release": lambda raw, _: types.Release(_read_flow(raw)),
+    "free": lambda raw, _: types.Free(_read_load(raw)),
+    "announce": lambda raw, _: _read_announce(raw),
+    "announceAnswer": lambda raw, _: _read_announce_answer(raw),
+    "gossipDigest": lambda raw, _: types.GossipDigest(tuple(raw.groups), raw.reply),
+    "gossipValues": lambda raw, _: _read_values(raw),
+    "gossipKeys": lambda raw, _: _read_keys(raw),
 }
--- a/packages/fescueseam/src/fescueseam/messages/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/messages/schema.capnp
@@ -1,36 +1,34 @@
 @0xb7f3c1d2e4a59680;
-# Messages between the processes of fescueseam, one sealed message in each UDP datagram.
+# Messages between the processes of fescueseam. A datagram is an authentication tag over all that
+# follows it, one Message, and the caller's packet of a Carry or Place.
 
-struct Sealed {
+struct Message {
   protocolVersion @0 :UInt16;
   keyId @1 :UInt32;
-  tag @2 :Data;
-  body @3 :Data;
-}
-
-struct Message {
-  sender @0 :Text;
-  incarnation @1 :UInt64;
-  sequence @2 :UInt64;
-  target @3 :Text;
-  service @4 :Text;
-  className @5 :Text;
-  epoch @6 :UInt64;
-  configVersion @7 :UInt64;
+  packetBytes @2 :UInt32;
+  sequence @3 :UInt64;
+  sender @4 :Text;
+  incarnation @5 :UInt64;
+  target @6 :Text;
+  service @7 :Text;
+  className @8 :Text;
+  epoch @9 :UInt64;
+  configVersion @10 :UInt64;
   body :union {
-    carry @8 :Carry;
-    place @9 :Place;
-    placed @10 :Placed;
-    full @11 :Full;
-    notHere @12 :Flow;
-    ask @13 :Ask;
-    askAnswer @14 :AskAnswer;
-    release @15 :Flow;
-    free @16 :Load;
-    announce @17 :Announce;
-    announceAnswer @18 :AnnounceAnswer;
-    gossipDigest @19 :GossipDigest;
-    gossipValues @20 :GossipValues;
+    carry @11 :Carry;
+    place @12 :Place;
+    placed @13 :Placed;
+    full @14 :Full;
+    notHere @15 :NotHere;
+    ask @16 :Ask;
+    askAnswer @17 :AskAnswer;
+    release @18 :Flow;
+    free @19 :Load;
+    announce @20 :Announce;
+    announceAnswer @21 :AnnounceAnswer;
+    gossipDigest @22 :GossipDigest;
+    gossipValues @23 :GossipValues;
+    gossipKeys @24 :GossipKeys;
   }
 }
 
@@ -51,13 +49,11 @@
 }
 
 struct Carry {
-  packet @0 :Data;
-  homed @1 :Bool;
+  homed @0 :Bool;
 }
 
 struct Place {
   attempt @0 :UInt64;
-  packet @1 :Data;
 }
 
 struct Placed {
@@ -72,6 +68,11 @@
   load @2 :Load;
 }
 
+struct NotHere {
+  flow @0 :Flow;
+  packet @1 :Data;
+}
+
 struct Ask {
   flow @0 :Flow;
   claim @1 :Bool;
@@ -130,3 +131,14 @@
   data @5 :Data;
   deleted @6 :Bool;
 }
+
+struct GossipKeys {
+  group @0 :UInt16;
+  entries @1 :List(KeyVersion);
+  reply @2 :Bool;
+}
+
+struct KeyVersion {
+  keyHash @0 :UInt64;
+  version @1 :UInt64;
+}
--- a/packages/fescueseam/src/fescueseam/messages/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/messages/tests/test_codec.py
@@ -2,6 +2,7 @@
 import random
 
 import pytest
+
 from fescueseam.conf.models import KeySettings
 from fescueseam.exceptions import ErrorKind, MessageError
 from fescueseam.flows.keys import PROTOCOL_UDP, FlowKey
@@ -22,7 +23,7 @@
     types.Place(7, b"packet"),
     types.Placed(7, FLOW, LOAD),
     types.Full(7, FLOW, LOAD),
-    types.NotHere(FLOW),
+    types.NotHere(FLOW, b"packet"),
     types.Ask(FLOW, True),
     types.AskAnswer(FLOW, True, True),
     types.Release(FLOW),
@@ -31,6 +32,7 @@
     types.AnnounceAnswer((types.Peer("a", "agent", "solo", "jawa-tengah", "127.0.0.1", 1, 2),)),
     types.GossipDigest((1, 2, 3), True),
     types.GossipValues((types.Value("k", 1, "w", b"data", 0, 2, True),), True),
+    types.GossipKeys(3, (types.KeyVersion(1, 2), types.KeyVersion(3, 4)), True),
 ]
 
 
--- a/packages/fescueseam/src/fescueseam/messages/types.py
+++ b/packages/fescueseam/src/fescueseam/messages/types.py
@@ -54,9 +54,10 @@
 
 @frozen
 class NotHere:
-    """Tell the recorder that the flow is not held here."""
+    """Give the recorder back a packet whose flow is not held here."""
 
     flow: FlowKey
+    packet: bytes = field(default=b"", repr=False)
 
 
 @frozen
@@ -135,6 +136,23 @@
     reply: bool = False
 
 
+@frozen
+class KeyVersion:
+    """Name the version that the sender holds of one key."""
+
+    key_hash: int
+    version: int
+
+
+@frozen
+class GossipKeys:
+    """List the versions of one group of keys; a reply only asks for what is newer."""
+
+    group: int
+    entries: tuple[KeyVersion, ...]
+    reply: bool = False
+
+
 @frozen
 class Value:
     """Carry one versioned value, or one page of it."""
@@ -170,6 +188,7 @@
     | AnnounceAnswer
     | GossipDigest
     | GossipValues
+    | GossipKeys
 )
 
 
--- a/packages/fescueseam/src/fescueseam/placement/opening.py
+++ b/packages/fescueseam/src/fescueseam/placement/opening.py
@@ -29,6 +29,7 @@
 
     member: str
     incarnation: int
+    repeatable: bool = True
 
 
 @define(eq=False)
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -45,6 +45,8 @@
     loads: dict[str, PeerLoad] = field(factory=dict)
     _refused: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
     _unknown: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    _spent: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    """Hold flows that were placed, whose home is gone, and that may not run again."""
     _since: dict[int, float] = field(factory=dict)
     _revision: int = -1
     _attempts: int = 0
@@ -52,7 +54,7 @@
     def handle_packet(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
         """Send a packet to its flow's home, or begin to find one."""
         flow = packet.flow
-        home = self._find_home(flow)
+        home = self._find_home(flow, now)
         if home is not None:
             return [self._carry_home(home, packet, service_class)]
         opening = self.openings.get(flow)
@@ -61,6 +63,8 @@
         phase = find_phase(packet, service_class.transport)
         if self._refused.get(flow, 0.0) > now:
             return self._refuse_again(packet, service_class, phase)
+        if self._spent.get(flow, 0.0) > now:
+            return [Drop(ErrorKind.DUPLICATE_OPENING, service_class.name)]
         if phase is not Phase.OPENING and self._unknown.get(flow, 0.0) > now:
             return [Drop(ErrorKind.UNKNOWN_FLOW, service_class.name)]
         if len(self.openings) >= OPENINGS_LIMIT:
@@ -118,18 +122,24 @@
                 effects += self._offer(opening, member, now)
         return effects
 
-    def handle_not_here(self, sender: str, flow: FlowKey) -> None:
-        """Forget a home that does not hold the flow."""
-        home = self.homes.get(flow)
-        if home is not None and home.member == sender:
-            del self.homes[flow]
+    def handle_not_here(
+        self, sender: str, packet: Packet, service_class: ServiceClass, now: float
+    ) -> Effects:
+        """Forget a home that does not hold the flow, and handle the packet anew."""
+        home = self.homes.get(packet.flow)
+        if home is None or home.member != sender:
+            return []
+        self._forget_home(packet.flow, now)
+        return self.handle_packet(packet, service_class, now)
 
     def tick(self, now: float) -> Effects:
         """Resend what was not answered and end waits that are over."""
         effects: Effects = []
         for opening in list(self.openings.values()):
             effects += self._advance(opening, now)
-        for known in (self._refused, self._unknown):
+        if self._revision != self.view.revision:
+            self._update_buckets(now)
+        for known in (self._refused, self._unknown, self._spent):
             while known and next(iter(known.values())) <= now:
                 known.popitem(last=False)
         return effects
@@ -161,8 +171,11 @@
         return since is not None and now >= since + SETTLE_S
 
     def _update_buckets(self, now: float) -> None:
-        # A bucket recorded without interruption keeps its time.
+        # A bucket recorded without interruption keeps its time. Of two changes at once the first
+        # was not looked at, and may have been an interruption.
         table = self.view.find_table(self.service)
+        if self.view.revision != self._revision + 1:
+            self._since = {}
         self._revision = self.view.revision
         recorded: dict[int, float] = {}
         for bucket in range(table.buckets if table else 0):
@@ -225,7 +238,8 @@
     def _place_next(self, opening: Opening, now: float) -> Effects:
         candidates = self._list_candidates(opening)
         member = self.choose(candidates, self.loads, now)
-        if member is not None:
+        in_time = now < opening.started + opening.service_class.opening_deadline_s
+        if member is not None and in_time:
             return self._offer(opening, member, now)
         if opening.abandoned:
             return self._end_unresolved(opening)
@@ -272,7 +286,7 @@
         member = self._find_member(holder)
         if member is None:
             return []
-        home = Home(holder, member.incarnation)
+        home = Home(holder, member.incarnation, opening.service_class.repeatable)
         self.homes[opening.flow] = home
         self.homes.move_to_end(opening.flow)
         if len(self.homes) > HOMES_LIMIT:
@@ -386,13 +400,18 @@
 
     # Peers
 
-    def _find_home(self, flow: FlowKey) -> Member | None:
+    def _forget_home(self, flow: FlowKey, now: float) -> None:
+        home = self.homes.pop(flow)
+        if not home.repeatable:
+            self._remember(self._spent, flow, now + PACKET_LIFETIME_S)
+
+    def _find_home(self, flow: FlowKey, now: float) -> Member | None:
         home = self.homes.get(flow)
         if home is None:
             return None
         member = self._find_member(home.member)
         if member is None or self.view.is_out(member.data_centre):
-            del self.homes[flow]
+            self._forget_home(flow, now)
             return None
         self.homes.move_to_end(flow)
         return member
