Decide versions, membership, table upkeep and retries, and run them in the daemons

Values carry versions and the highest wins; configuration travels as small entries and comes into force once the entries of its head are complete. Agents announce to keepers by rendezvous hashing, keepers write one small report for each process, and balancers merge the reports. Tables change by conditional update with writer ids; majorities of rows of recent epochs must meet before the set of members changes. GossipKeys joins the messages, so that two processes exchange only the keys that differ.

--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
@@ -0,0 +1,47 @@
+"""Decide what an agent does to keep its view current; no input or output."""
+
+import json
+import random
+from collections.abc import Sequence
+
+from fescueseam.upkeep.documents import TABLES_PREFIX
+from fescueseam.versions.gossip import Gossip
+from fescueseam.versions.values import CONFIG_PREFIX, VersionedMap, VersionedValue
+from fescueseam_daemon.control.node import LEASE_S, ControlNode
+
+SUSPECTS_PREFIX = "suspects/"
+
+
+class AgentNode(ControlNode):
+    """Announce to keepers and take configuration, the own table and suspects from them."""
+
+    def _make_gossip(self, rng: random.Random, now: float) -> Gossip:
+        return Gossip(VersionedMap(), rng, now, self._wants, config_only=True)
+
+    def _wants(self, key: str) -> bool:
+        service = self.settings.service
+        if key.startswith(CONFIG_PREFIX) or key == TABLES_PREFIX + service:
+            return True
+        return key.startswith(f"{SUSPECTS_PREFIX}{service}/")
+
+    def _on_changed(self, values: Sequence[VersionedValue], now: float) -> None:
+        if any(value.key.startswith(SUSPECTS_PREFIX) for value in values):
+            self.update_suspects(now)
+
+    def update_suspects(self, now: float) -> None:
+        """Suspect the members that every keeper heard lately suspects."""
+        prefix = f"{SUSPECTS_PREFIX}{self.settings.service}/"
+        lists = []
+        for keeper in self.book.list_heard(now, LEASE_S):
+            value = self.gossip.values.get(prefix + keeper.name)
+            lists.append(frozenset(json.loads(value.value)) if value else frozenset())
+        suspects = frozenset.intersection(*lists) if lists else frozenset()
+        self.view.set_suspects(suspects - {self.settings.name})
+
+
+def build_suspects(
+    keeper: str, service: str, names: frozenset[str], version: int
+) -> VersionedValue:
+    """Return the value that tells agents of a service whom a keeper suspects."""
+    data = json.dumps(sorted(names), separators=(",", ":")).encode()
+    return VersionedValue(f"{SUSPECTS_PREFIX}{service}/{keeper}", version, data, keeper)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -0,0 +1,321 @@
+"""Decide what a balancer does as a keeper; no input or output."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from fescueseam.conf.models import ProcessSettings, Role
+from fescueseam.effects import Send
+from fescueseam.membership.detector import DEAD_AFTER_S, Membership
+from fescueseam.membership.facts import Announcement, MembershipEvent, ProcessFacts, Status
+from fescueseam.membership.peers import PeerBook, to_peer
+from fescueseam.membership.rendezvous import choose_keepers
+from fescueseam.membership.reports import (
+    MEMBERS_PREFIX,
+    KeptReport,
+    Report,
+    ReportVersions,
+    Sighting,
+    build_report_key,
+    decode_report,
+    encode_report,
+    merge_reports,
+)
+from fescueseam.messages.types import Announce, AnnounceAnswer, Body, Message, Peer
+from fescueseam.routing.view import View
+from fescueseam.upkeep.documents import TABLES_PREFIX
+from fescueseam.versions.pages import pack_values
+from fescueseam.versions.values import CONFIG_PREFIX, VersionedValue
+from fescueseam_daemon.control.agent_node import build_suspects
+from fescueseam_daemon.control.node import KEEPERS, ControlNode
+
+MERGE_INTERVAL_S = 0.25
+MISSING_SUSPECT_S = 4.0
+"""Suspect a listed member that no keeper has reported on for this time."""
+STAND_INS = 3
+"""Count the balancers that may write the same object, by rank."""
+WATCHERS = 2
+"""Let this many balancers of a data centre hold a watch of the store."""
+PEERS_PER_ANSWER = 8
+PEERS_EVERY = 10
+"""Name peers in the first answers and then in one of this many."""
+FIRST_ANSWERS = 3
+
+
+class BalancerNode(ControlNode):
+    """Keep membership, spread values and know the part that this balancer plays."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        incarnation: int,
+        view: View,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Start with nobody heard."""
+        super().__init__(settings, incarnation, view, rng, now)
+        self.membership = Membership(now)
+        self.sightings: dict[str, Sighting] = {}
+        self._versions = ReportVersions(incarnation)
+        self._reports: dict[str, KeptReport] = {}
+        self._suspects: dict[str, VersionedValue] = {}
+        self._missing: dict[str, float] = {}
+        self._merged_at = float("-inf")
+
+    # Parts of this balancer
+
+    def find_rank(self, key: str) -> int:
+        """Return how many live balancers come before this one for a key."""
+        live = self.list_live()
+        ranked = choose_keepers(key, [*live, self.settings.name], len(live) + 1)
+        return ranked.index(self.settings.name)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this balancer should hold a watch of the store."""
+        return self._find_local_rank("watch") < WATCHERS
+
+    def is_scribe(self) -> bool:
+        """Tell whether this balancer writes the members of its data centre."""
+        return self._find_local_rank("members") == 0
+
+    def list_live(self) -> list[str]:
+        """Return the other balancers that are alive."""
+        own = self.settings.name
+        return [
+            name
+            for name, sighting in self.sightings.items()
+            if name != own
+            and sighting.facts.role is Role.BALANCER
+            and sighting.status is Status.ALIVE
+        ]
+
+    def describe_self(self) -> ProcessFacts:
+        """Return the facts of this process."""
+        settings = self.settings
+        return ProcessFacts(
+            settings.name,
+            settings.role,
+            settings.data_centre,
+            settings.region,
+            settings.address,
+            settings.control_port,
+            self.incarnation,
+            metrics_port=settings.metrics_port,
+        )
+
+    # Events
+
+    def tick(self, now: float) -> list[Send]:
+        """Return what is due now."""
+        self._write_reports(self.membership.on_tick(now))
+        sends: list[Send] = []
+        if now - self._merged_at >= MERGE_INTERVAL_S:
+            self._merge(now)
+            sends += self._tell_suspects()
+        live = [name for name in self.list_live() if self.find_peer(name) is not None]
+        for outgoing in self.gossip.tick(now, live):
+            sends += self._send_named(outgoing.peer, outgoing.body)
+        return [*sends, *super().tick(now)]
+
+    def find_peer(self, name: str) -> Peer | None:
+        """Return the address of a process by name."""
+        known = self.book.find(name)
+        if known is not None:
+            return known
+        record = self.membership.records.get(name)
+        if record is not None:
+            return to_peer(record.facts)
+        sighting = self.sightings.get(name)
+        return to_peer(sighting.facts) if sighting is not None else None
+
+    def _list_keepers(self, now: float) -> list[Peer]:
+        near = super()._list_keepers(now)
+        # One keeper elsewhere lets the other data centres see this one.
+        others = PeerBook(self.settings.name)
+        for peer in self.book.list_peers():
+            if peer.data_centre != self.settings.data_centre:
+                others.learn(peer)
+        far = others.choose(self.settings.name, now, "", self.settings.region, 1)
+        return [*near[:KEEPERS], *(peer for peer in far if peer not in near[:KEEPERS])]
+
+    def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
+        facts = self._read_facts(message, body)
+        peer = to_peer(facts)
+        if facts.role is Role.BALANCER:
+            self.book.learn(peer)
+            self.book.note_heard(peer.name, now)
+        announcement = Announcement(facts, body.heartbeat, message.config_version, message.epoch)
+        self._write_reports(self.membership.on_announce(announcement, now))
+        bodies: list[Body] = [AnnounceAnswer(self._choose_peers(body.heartbeat))]
+        known = self._suspects.get(message.service)
+        if known is not None and known.value != b"[]":
+            bodies += pack_values([known])
+        return [self._make(peer, answer, message.service) for answer in bodies]
+
+    def _read_facts(self, message: Message, body: Announce) -> ProcessFacts:
+        table = self.view.find_table(message.service) if message.service else None
+        displaced = table is not None and any(
+            extra.member == message.sender for extra in table.extras
+        )
+        return ProcessFacts(
+            name=message.sender,
+            role=Role(body.role),
+            data_centre=body.data_centre,
+            region=body.region,
+            address=body.address,
+            control_port=body.control_port,
+            incarnation=message.incarnation,
+            service=message.service,
+            draining=body.draining,
+            # Open flows come and go; only of a member that leaves a row does it matter.
+            idle=body.open_flows == 0 and (body.draining or displaced),
+            healthy=body.healthy,
+            metrics_port=body.metrics_port,
+        )
+
+    def _choose_peers(self, heartbeat: int) -> tuple[Peer, ...]:
+        if heartbeat > FIRST_ANSWERS and heartbeat % PEERS_EVERY:
+            return ()
+        live = [peer for name in self.list_live() if (peer := self.book.find(name)) is not None]
+        own = self.settings
+        near = [peer for peer in live if peer.data_centre == own.data_centre]
+        far = [peer for peer in live if peer.data_centre != own.data_centre]
+        self.rng.shuffle(near)
+        self.rng.shuffle(far)
+        chosen = [*near[: PEERS_PER_ANSWER - 3], *far][: PEERS_PER_ANSWER - 1]
+        return (to_peer(self.describe_self()), *chosen)
+
+    # Reports
+
+    def _write_reports(self, events: Iterable[MembershipEvent]) -> None:
+        for event in events:
+            self._write_report(event.facts.name)
+
+    def _write_report(self, name: str) -> None:
+        record = self.membership.records.get(name)
+        if record is None:
+            return
+        settings = self.settings
+        key = build_report_key(settings.data_centre, settings.name, record.facts)
+        data = encode_report(Report(record.facts, record.status))
+        self.gossip.put(VersionedValue(key, self._versions.take(), data, settings.name))
+
+    def _on_changed(self, values: Sequence[VersionedValue], now: float) -> None:
+        for value in values:
+            if not value.key.startswith(MEMBERS_PREFIX):
+                continue
+            if value.deleted:
+                self._reports.pop(value.key, None)
+            else:
+                self._take_report(value)
+
+    def _take_report(self, value: VersionedValue) -> None:
+        kept = decode_report(value)
+        self._reports[value.key] = kept
+        facts = kept.report.facts
+        if facts.role is Role.BALANCER and kept.report.status is Status.ALIVE:
+            self.book.learn(to_peer(facts))
+        mine = kept.keeper == self.settings.name
+        if mine and value.version < self.incarnation and facts.name not in self.membership.records:
+            # An earlier incarnation of this keeper wrote it and knows nothing any more.
+            self.gossip.put(
+                VersionedValue(
+                    value.key, self._versions.take(), b"", self.settings.name, deleted=True
+                )
+            )
+
+    def _merge(self, now: float) -> None:
+        self._merged_at = now
+        heard = [peer.name for peer in self.book.list_heard(now, DEAD_AFTER_S)]
+        reached = [self.settings.name, *heard]
+        self.sightings = merge_reports(self._reports.values(), reached)
+        for name in heard:
+            peer = self.book.find(name)
+            known = self.sightings.get(name)
+            if peer is not None and (known is None or known.status is not Status.ALIVE):
+                self.sightings[name] = Sighting(_to_facts(peer), Status.ALIVE, 1)
+        self.view.set_suspects(self._find_suspects(now))
+
+    def _find_suspects(self, now: float) -> frozenset[str]:
+        suspects = {
+            name
+            for name, sighting in self.sightings.items()
+            if sighting.status is not Status.ALIVE and sighting.facts.role is Role.AGENT
+        }
+        listed = {member.name for table in self.view.list_tables() for member in table.members}
+        unseen = listed - self.sightings.keys()
+        self._missing = {name: self._missing.get(name, now) for name in unseen}
+        late = {name for name, since in self._missing.items() if now - since >= MISSING_SUSPECT_S}
+        return frozenset(suspects | late)
+
+    def _tell_suspects(self) -> list[Send]:
+        sends: list[Send] = []
+        by_service = self._group_agents()
+        for service, agents in by_service.items():
+            table = self.view.find_table(service)
+            listed = {member.name for member in table.members} if table is not None else set()
+            names = self.view.suspects & listed
+            known = self._suspects.get(service)
+            value = build_suspects(self.settings.name, service, names, 0)
+            if known is not None and known.value == value.value:
+                continue
+            if known is None and not names:
+                continue
+            value = build_suspects(self.settings.name, service, names, self._versions.take())
+            self._suspects[service] = value
+            sends += self._send_values([value], agents, service)
+        return sends
+
+    def _group_agents(self) -> dict[str, list[ProcessFacts]]:
+        grouped: dict[str, list[ProcessFacts]] = {}
+        for record in self.membership.records.values():
+            if record.facts.role is Role.AGENT and record.status is Status.ALIVE:
+                grouped.setdefault(record.facts.service, []).append(record.facts)
+        return grouped
+
+    # Pushes
+
+    def _push(self, hot: Sequence[VersionedValue], now: float) -> list[Send]:
+        sends: list[Send] = []
+        for outgoing in self.gossip.push(hot, self.list_live()):
+            sends += self._send_named(outgoing.peer, outgoing.body)
+        for service, agents in self._group_agents().items():
+            concerned = [
+                value
+                for value in hot
+                if value.key.startswith(CONFIG_PREFIX) or value.key == TABLES_PREFIX + service
+            ]
+            sends += self._send_values(concerned, agents, service)
+        return sends
+
+    def _send_values(
+        self, values: Sequence[VersionedValue], agents: Iterable[ProcessFacts], service: str
+    ) -> list[Send]:
+        bodies = pack_values(values)
+        return [self._make(to_peer(facts), body, service) for facts in agents for body in bodies]
+
+    def _send_named(self, name: str, body: Body) -> list[Send]:
+        peer = self.find_peer(name)
+        return [self._make(peer, body)] if peer is not None else []
+
+    def _find_local_rank(self, purpose: str) -> int:
+        own = self.settings
+        near = [
+            name
+            for name in self.list_live()
+            if self.sightings[name].facts.data_centre == own.data_centre
+        ]
+        ranked = choose_keepers(f"{purpose}/{own.data_centre}", [*near, own.name], len(near) + 1)
+        return ranked.index(own.name)
+
+
+def _to_facts(peer: Peer) -> ProcessFacts:
+    return ProcessFacts(
+        peer.name,
+        Role(peer.role),
+        peer.data_centre,
+        peer.region,
+        peer.address,
+        peer.control_port,
+        peer.incarnation,
+    )
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/directory.py
@@ -0,0 +1,106 @@
+"""Keep the store's object that lists the processes of one data centre; no input or output.
+
+A new process reads it to find its first peers. Nothing else depends on it.
+"""
+
+from typing import Any
+
+import cattrs
+from attrs import evolve
+from cattrs.errors import BaseValidationError
+
+from fescueseam.conf.models import Role
+from fescueseam.exceptions import ErrorKind, StoreError
+from fescueseam.membership.facts import ProcessFacts, Status
+from fescueseam.membership.peers import to_peer
+from fescueseam.membership.reports import MEMBERS_PREFIX
+from fescueseam.messages.types import Peer
+from fescueseam.retries.backoff import compute_backoff
+from fescueseam.upkeep.store import StoredObject
+from fescueseam_daemon.control.balancer_node import BalancerNode
+
+WRITE_INTERVAL_S = 2.0
+"""Join changes that come within this time into one write."""
+SETTLE_S = 1.0
+_converter = cattrs.Converter()
+
+
+class Directory:
+    """Decide when the object differs from what is seen, and what it should hold."""
+
+    def __init__(self, node: BalancerNode) -> None:
+        """Start without knowledge of the object."""
+        self.key = MEMBERS_PREFIX + node.settings.data_centre
+        self._node = node
+        self._stored: dict[str, ProcessFacts] | None = None
+        self._next_at = float("-inf")
+        self._failures = 0
+        self._started_at: float | None = None
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether this balancer should read and perhaps write the object."""
+        if self._started_at is None:
+            self._started_at = now
+        if now < self._next_at or now - self._started_at < SETTLE_S:
+            return False
+        if not self._node.is_scribe():
+            self._stored = None
+            return False
+        return self._stored is None or self._merge(self._stored) != self._stored
+
+    def on_read(self, stored: StoredObject | None, now: float) -> None:
+        """Take what the store holds; its balancers become known here."""
+        self._failures = 0
+        self._next_at = now + WRITE_INTERVAL_S
+        facts = _read_facts(stored) if stored is not None else ()
+        self._stored = {item.name: item for item in facts}
+        for item in facts:
+            if item.role is Role.BALANCER:
+                self._node.book.learn(to_peer(item))
+
+    def make_value(self, now: float) -> Any:
+        """Return what should be written, or None if nothing differs."""
+        assert self._stored is not None, "the object was not read"
+        merged = self._merge(self._stored)
+        if merged == self._stored:
+            return None
+        return {"processes": [_converter.unstructure(merged[name]) for name in sorted(merged)]}
+
+    def on_written(self, now: float) -> None:
+        """Take the news that the write has taken effect."""
+        if self._stored is not None:
+            self._stored = self._merge(self._stored)
+
+    def on_failed(self, now: float) -> None:
+        """Wait longer after each failure and read again."""
+        self._failures += 1
+        self._stored = None
+        wait_s = compute_backoff(self._failures, self._node.rng)
+        self._next_at = now + max(WRITE_INTERVAL_S, wait_s)
+
+    def _merge(self, stored: dict[str, ProcessFacts]) -> dict[str, ProcessFacts]:
+        own = self._node.describe_self()
+        merged = dict(stored)
+        merged[own.name] = own
+        for name, sighting in self._node.sightings.items():
+            facts = sighting.facts
+            if facts.data_centre != own.data_centre or name == own.name:
+                continue
+            if sighting.status is Status.DEAD:
+                merged.pop(name, None)
+            elif sighting.status is Status.ALIVE:
+                merged[name] = evolve(facts, draining=False, idle=False, healthy=True)
+        return merged
+
+
+def read_directory(stored: StoredObject) -> list[Peer]:
+    """Return the balancers that an object lists."""
+    return [to_peer(item) for item in _read_facts(stored) if item.role is Role.BALANCER]
+
+
+def _read_facts(stored: StoredObject) -> tuple[ProcessFacts, ...]:
+    try:
+        items = stored.value["processes"]
+        return tuple(_converter.structure(item, ProcessFacts) for item in items)
+    except (BaseValidationError, TypeError, KeyError) as exc:
+        raise StoreError(f"no directory: {stored.key}", ErrorKind.MALFORMED_MESSAGE) from exc
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -0,0 +1,283 @@
+"""Run the control of a daemon: tick, watch the store and write what is due."""
+
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import trio
+
+from fescueseam.conf.accepted import CONFIGURATION_KEY, decode_accepted
+from fescueseam.conf.models import ProcessSettings
+from fescueseam.effects import Send
+from fescueseam.exceptions import FescueseamError, StoreConflictError, StoreError
+from fescueseam.messages.types import Load, Message
+from fescueseam.retries.backoff import Breaker, compute_backoff
+from fescueseam.routing.view import View
+from fescueseam.upkeep.documents import TABLES_PREFIX, decode_table, encode_table, pack_table
+from fescueseam.upkeep.keeper import ReadTable
+from fescueseam.upkeep.store import StoredObject
+from fescueseam_daemon.channel import Channel
+from fescueseam_daemon.control.agent_node import AgentNode
+from fescueseam_daemon.control.balancer_node import BalancerNode
+from fescueseam_daemon.control.directory import Directory, read_directory
+from fescueseam_daemon.control.node import ControlNode
+from fescueseam_daemon.control.store import HttpStore
+from fescueseam_daemon.control.tables import TableSet, TableStep
+
+TICK_S = 0.05
+WATCH_S = 30.0
+POLL_S = 20.0
+"""Read the configuration this often, in the mean, where others hold the watch."""
+TABLE_STEP_S = 0.2
+DIRECTORY_STEP_S = 1.0
+
+
+class ControlLoops:
+    """Join a node's decisions with the channel and the store."""
+
+    def __init__(self, node: ControlNode, view: View, channel: Channel) -> None:
+        """Prepare; nothing is sent before `start`."""
+        self.node = node
+        self.view = view
+        self.store = HttpStore(node.settings.store_url, channel.metrics.registry)
+        self.rng = random.Random(f"{node.settings.name}/{node.incarnation}")
+        self._channel = channel
+        self._scope = trio.CancelScope()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin every loop."""
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """End every loop and close the store's connections."""
+        self._scope.cancel()
+        await self.store.close()
+
+    def handle_message(self, message: Message) -> bool:
+        """Take a message; tell whether it was one of control."""
+        sends = self.node.handle(message, time.monotonic())
+        if sends is None:
+            return False
+        self._send(sends)
+        return True
+
+    def hears_peers(self, now: float) -> bool:
+        """Tell whether another process was heard within the lease."""
+        return self.node.hears_peers(now)
+
+    def is_current(self) -> bool:
+        """Tell whether what is held was compared with peers or the store."""
+        return self.node.is_current(time.monotonic())
+
+    def report(self, load: Load, draining: bool, open_flows: int) -> None:
+        """Take what announcements say of this process."""
+        self.node.own.load = load
+        self.node.own.draining = draining
+        self.node.own.open_flows = open_flows
+
+    def describe_status(self) -> dict[str, object]:
+        """Return the part of the status page on control."""
+        settings = self.node.settings
+        cfg = self.node.gossip.configuration
+        return {
+            "name": settings.name,
+            "role": settings.role.value,
+            "data_centre": settings.data_centre,
+            "region": settings.region,
+            "incarnation": self.node.incarnation,
+            "configuration_version": cfg.version,
+            "is_current": self.is_current(),
+            "hears_peers": self.hears_peers(time.monotonic()),
+            "epochs": {table.service: table.epoch for table in self.view.list_tables()},
+            "suspects": sorted(self.view.suspects),
+        }
+
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops of the role."""
+        return [self._tick]
+
+    async def _run(self) -> None:
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                for loop in self.list_loops():
+                    nursery.start_soon(loop)
+
+    async def _tick(self) -> None:
+        while True:
+            self._send(self.node.tick(time.monotonic()))
+            await trio.sleep(TICK_S)
+
+    def _send(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            self._channel.send(send.address, send.port, send.message)
+
+    def take_object(self, stored: StoredObject) -> None:
+        """Take an object of the store; what cannot be read has no effect."""
+        try:
+            if stored.key == CONFIGURATION_KEY:
+                accepted = decode_accepted(stored.value)
+                self.node.take_configuration(accepted.configuration, accepted.writer)
+            elif stored.key.startswith(TABLES_PREFIX):
+                self.node.gossip.put(pack_table(decode_table(stored.value)))
+            else:
+                for peer in read_directory(stored):
+                    self.node.book.learn(peer)
+        except FescueseamError as exc:
+            self._channel.metrics.count_drop(exc.kind)
+
+    async def read_configuration(self) -> None:
+        """Read the configuration once."""
+        stored = await self.store.get(CONFIGURATION_KEY)
+        self.node.gossip.note_store_read()
+        if stored is not None:
+            self.take_object(stored)
+
+    async def retry(self, call: Callable[[], Awaitable[Any]], attempts: int = 1 << 30) -> None:
+        """Make a call until it succeeds, waiting longer with jitter after each failure."""
+        for attempt in range(attempts):
+            try:
+                await call()
+            except StoreError:
+                await trio.sleep(compute_backoff(attempt, self.rng))
+            else:
+                return
+
+
+class AgentControl(ControlLoops):
+    """Keep an agent's view current; the store is asked at the start and when all are silent."""
+
+    def __init__(
+        self, settings: ProcessSettings, incarnation: int, view: View, channel: Channel
+    ) -> None:
+        """Prepare; nothing is sent before `start`."""
+        rng = random.Random(f"{settings.name}/{incarnation}")
+        self.agent = AgentNode(settings, incarnation, view, rng, time.monotonic())
+        super().__init__(self.agent, view, channel)
+
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops of the role."""
+        return [self._tick, self._ask_store]
+
+    async def _ask_store(self) -> None:
+        attempt = 0
+        await self.retry(self._read_once, attempts=3)
+        while True:
+            self.agent.update_suspects(time.monotonic())
+            if self.hears_peers(time.monotonic()):
+                attempt = 0
+                await trio.sleep(1.0)
+                continue
+            await self.retry(self._read_once, attempts=1)
+            attempt += 1
+            await trio.sleep(1.0 + compute_backoff(attempt, self.rng))
+
+    async def _read_once(self) -> None:
+        for stored in await self.store.list_objects("members/"):
+            self.take_object(stored)
+        if self.view.cfg.version == 0:
+            await self.read_configuration()
+
+
+class BalancerControl(ControlLoops):
+    """Keep a balancer's view current and do its share as a keeper."""
+
+    def __init__(
+        self, settings: ProcessSettings, incarnation: int, view: View, channel: Channel
+    ) -> None:
+        """Prepare; nothing is sent before `start`."""
+        rng = random.Random(f"{settings.name}/{incarnation}")
+        self.balancer = BalancerNode(settings, incarnation, view, rng, time.monotonic())
+        super().__init__(self.balancer, view, channel)
+        self.tables = TableSet(self.balancer, rng)
+        self.directory = Directory(self.balancer)
+        self._watch_breaker = Breaker(rng)
+
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops of the role."""
+        return [self._tick, self._watch, self._poll, self._keep_tables, self._keep_directory]
+
+    def describe_status(self) -> dict[str, object]:
+        """Return the part of the status page on control."""
+        cfg_version = self.node.gossip.configuration.version
+        records = list(self.balancer.membership.records.values())
+        return super().describe_status() | {
+            "announcing": {
+                record.facts.name: {
+                    "status": record.status.value,
+                    "configuration_version": record.config_version,
+                    "lags": record.config_version < cfg_version,
+                }
+                for record in records
+            },
+            "watches_store": self.balancer.is_watcher(),
+        }
+
+    async def _watch(self) -> None:
+        after = 0
+        while True:
+            if after > 0 and not self.balancer.is_watcher():
+                await trio.sleep(1.0)
+                continue
+            if not self._watch_breaker.allows(time.monotonic()):
+                await trio.sleep(TICK_S)
+                continue
+            try:
+                changes = await self.store.watch("", after, WATCH_S)
+            except StoreError:
+                self._watch_breaker.record_failure(time.monotonic())
+                continue
+            self._watch_breaker.record_success()
+            self.node.gossip.note_store_read()
+            for stored in changes.objects:
+                self.take_object(stored)
+            after = max(after, changes.revision, 1)
+
+    async def _poll(self) -> None:
+        while True:
+            await trio.sleep(POLL_S * self.rng.uniform(0.5, 1.5))
+            if not self.balancer.is_watcher():
+                await self.retry(self.read_configuration, attempts=1)
+
+    async def _keep_tables(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                for step in self.tables.list_steps(time.monotonic()):
+                    nursery.start_soon(self._run_step, step)
+                await trio.sleep(TABLE_STEP_S)
+
+    async def _run_step(self, step: TableStep) -> None:
+        keeper, call = step.keeper, step.call
+        try:
+            if isinstance(call, ReadTable):
+                keeper.on_read(await self.store.get(call.key), time.monotonic())
+            else:
+                value = encode_table(call.table)
+                version = await self.store.put(call.key, value, call.expected_version)
+                keeper.on_written(version, time.monotonic())
+        except StoreConflictError:
+            keeper.on_conflict()
+        except StoreError:
+            keeper.on_failed(time.monotonic())
+        else:
+            if keeper.table.epoch > 0:
+                self.node.gossip.put(pack_table(keeper.table))
+
+    async def _keep_directory(self) -> None:
+        while True:
+            await trio.sleep(DIRECTORY_STEP_S * self.rng.uniform(0.8, 1.2))
+            now = time.monotonic()
+            if self.tables.breaker.failures == 0 and self.directory.is_due(now):
+                await self._write_directory(now)
+
+    async def _write_directory(self, now: float) -> None:
+        try:
+            stored = await self.store.get(self.directory.key)
+            self.directory.on_read(stored, now)
+            value = self.directory.make_value(now)
+            if value is not None:
+                version = stored.version if stored is not None else 0
+                await self.store.put(self.directory.key, value, version)
+                self.directory.on_written(now)
+        except StoreError:
+            self.directory.on_failed(now)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -0,0 +1,258 @@
+"""Decide what every process does to keep its view current; no input or output."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from attrs import define, field
+
+from fescueseam.conf.models import Configuration, ProcessSettings
+from fescueseam.effects import Send
+from fescueseam.membership.peers import PeerBook
+from fescueseam.messages.types import (
+    Announce,
+    AnnounceAnswer,
+    Body,
+    GossipDigest,
+    GossipKeys,
+    GossipValues,
+    Load,
+    Message,
+    Peer,
+)
+from fescueseam.routing.view import View
+from fescueseam.upkeep.documents import TABLES_PREFIX, unpack_table
+from fescueseam.versions.gossip import Gossip
+from fescueseam.versions.pages import pack_values
+from fescueseam.versions.values import VersionedMap, VersionedValue
+
+LEASE_S = 2.0
+"""Deliver nothing once no other process was heard for this time."""
+ANNOUNCE_PERIOD_S = 1.0
+"""Announce to each keeper once in this time; keepers take turns within it."""
+KEEPERS = 2
+SYNC_INTERVAL_S = 0.4
+"""Send what a lagging peer lacks at most once in this time."""
+SYNCS_LIMIT = 4096
+
+
+@define
+class OwnReport:
+    """Hold what the packet path says of this process."""
+
+    load: Load = field(factory=Load)
+    draining: bool = False
+    open_flows: int = 0
+
+
+@define
+class Clocks:
+    """Hold when something was last done or heard."""
+
+    heard_at: float = float("-inf")
+    announce_at: float = float("-inf")
+    synced: dict[str, float] = field(factory=dict)
+
+
+class ControlNode:
+    """Announce, compare versions with peers and keep the view current."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        incarnation: int,
+        view: View,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Start with the seeds of the settings as the only peers."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.view = view
+        self.book = PeerBook(settings.name)
+        self.own = OwnReport()
+        self.seeds = [_parse_seed(seed) for seed in settings.seeds]
+        self.gossip = self._make_gossip(rng, now)
+        self.rng = rng
+        self._started_at = now
+        self._clocks = Clocks()
+        self._heartbeat = 0
+        self._turn = 0
+        self._later: list[Send] = []
+
+    # What the packet loops use
+
+    def hears_peers(self, now: float) -> bool:
+        """Tell whether another process was heard within the lease."""
+        return now - self._clocks.heard_at <= LEASE_S
+
+    def is_current(self, now: float) -> bool:
+        """Tell whether the configuration was compared with peers or, alone, with the store."""
+        return self.gossip.is_current(now)
+
+    def handle(self, message: Message, now: float) -> list[Send] | None:
+        """Return the answers to a control message; None for a message of the packet path."""
+        self._clocks.heard_at = now
+        self.book.note_heard(message.sender, now)
+        sends = self._dispatch(message, now)
+        handled = sends is not None
+        answers = [*(sends or ()), *self._sync(message, now), *self._settle(now)]
+        if handled:
+            return answers
+        # The caller goes on with the message itself; the next tick sends these.
+        self._later += answers
+        return None
+
+    def tick(self, now: float) -> list[Send]:
+        """Return what is due now."""
+        later, self._later = self._later, []
+        return [*later, *self._announce(now), *self._settle(now)]
+
+    # Hooks of the roles
+
+    def _make_gossip(self, rng: random.Random, now: float) -> Gossip:
+        return Gossip(VersionedMap(), rng, now)
+
+    def _list_keepers(self, now: float) -> list[Peer]:
+        settings = self.settings
+        return self.book.choose(settings.name, now, settings.data_centre, settings.region, KEEPERS)
+
+    def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
+        return []
+
+    def _on_changed(self, values: Sequence[VersionedValue], now: float) -> None:
+        """Follow values that changed."""
+
+    def _push(self, hot: Sequence[VersionedValue], now: float) -> list[Send]:
+        return []
+
+    # Messages
+
+    def _dispatch(self, message: Message, now: float) -> list[Send] | None:
+        body = message.body
+        match body:
+            case Announce():
+                return self._on_announce(message, body, now)
+            case AnnounceAnswer():
+                for peer in body.peers:
+                    self.book.learn(peer)
+                return []
+            case GossipDigest():
+                return self._reply(message, self.gossip.on_digest(body))
+            case GossipKeys():
+                return self._reply(message, self.gossip.on_keys(body))
+            case GossipValues():
+                return self._reply(message, self.gossip.on_values(body))
+        return None
+
+    def _reply(self, message: Message, bodies: Iterable[Body]) -> list[Send]:
+        peer = self.find_peer(message.sender)
+        if peer is None:
+            return []
+        return [self._make(peer, body, message.service) for body in bodies]
+
+    def find_peer(self, name: str) -> Peer | None:
+        """Return the address of a process by name."""
+        return self.book.find(name)
+
+    def _make(self, peer: Peer, body: Body, service: str = "") -> Send:
+        table = self.view.find_table(service) if service else None
+        message = Message(
+            self.settings.name,
+            self.incarnation,
+            body,
+            target=peer.name,
+            service=service,
+            epoch=table.epoch if table is not None else 0,
+            config_version=self.gossip.configuration.version,
+        )
+        return Send(peer.address, peer.control_port, message)
+
+    # Announcements
+
+    def _announce(self, now: float) -> list[Send]:
+        if now < self._clocks.announce_at:
+            return []
+        keepers = self._list_keepers(now)
+        targets = keepers or self.seeds
+        if not targets:
+            return []
+        self._clocks.announce_at = now + ANNOUNCE_PERIOD_S / len(targets)
+        self._turn += 1
+        target = targets[self._turn % len(targets)]
+        self.book.note_asked(target.name, now)
+        sends = [self._make(target, self._describe(), self.settings.service)]
+        if keepers and self.seeds and not self.book.list_heard(now, LEASE_S):
+            # Nobody known answers: the seeds may.
+            seed = self.rng.choice(self.seeds)
+            sends.append(self._make(seed, self._describe(), self.settings.service))
+        return sends
+
+    def _describe(self) -> Announce:
+        settings = self.settings
+        self._heartbeat += 1
+        return Announce(
+            role=settings.role.value,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            address=settings.address,
+            control_port=settings.control_port,
+            metrics_port=settings.metrics_port,
+            heartbeat=self._heartbeat,
+            draining=self.own.draining,
+            open_flows=self.own.open_flows,
+            load=self.own.load,
+        )
+
+    # Versions
+
+    def _sync(self, message: Message, now: float) -> list[Send]:
+        """Bring a peer up to date, or ask it, when its message shows another version."""
+        peer = self.find_peer(message.sender)
+        bodies = self._list_lacking(message)
+        if peer is None or not bodies:
+            return []
+        last = self._clocks.synced.get(peer.name, float("-inf"))
+        if now - last < SYNC_INTERVAL_S:
+            return []
+        if len(self._clocks.synced) >= SYNCS_LIMIT:
+            self._clocks.synced.clear()
+        self._clocks.synced[peer.name] = now
+        return [self._make(peer, body, message.service) for body in bodies]
+
+    def _list_lacking(self, message: Message) -> list[Body]:
+        bodies: list[Body] = []
+        mine = self.gossip.configuration.version
+        if message.config_version < mine:
+            bodies += self.gossip.select_for(message.config_version) or [self.gossip.digest()]
+        elif message.config_version > mine:
+            bodies.append(self.gossip.digest())
+        table = self.view.find_table(message.service) if message.service else None
+        if table is not None and message.epoch < table.epoch:
+            value = self.gossip.values.get(TABLES_PREFIX + message.service)
+            bodies += pack_values([value] if value is not None else [])
+        return bodies
+
+    def _settle(self, now: float) -> list[Send]:
+        """Put what changed into the view and push it on."""
+        changed, self.gossip.changed = self.gossip.changed, []
+        for value in changed:
+            if value.key.startswith(TABLES_PREFIX) and not value.deleted:
+                self.view.set_table(unpack_table(value))
+        if self.gossip.is_current(now):
+            self.view.set_configuration(self.gossip.configuration)
+        if changed:
+            self._on_changed(changed, now)
+        hot = self.gossip.take_hot()
+        return self._push(hot, now) if hot else []
+
+    # What the store loops use
+
+    def take_configuration(self, cfg: Configuration, writer: str) -> None:
+        """Take the configuration that the store holds."""
+        self.gossip.note_store_read()
+        self.gossip.put_configuration(cfg, writer)
+
+
+def _parse_seed(text: str) -> Peer:
+    address, _, port = text.rpartition(":")
+    return Peer("", "balancer", "", "", address.strip("[]"), int(port), 0)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tables.py
@@ -0,0 +1,111 @@
+"""Run the keepers of the tables that this balancer keeps; no input or output."""
+
+import random
+
+from attrs import frozen
+
+from fescueseam.conf.models import Configuration, DataCentreState
+from fescueseam.membership.facts import Status
+from fescueseam.membership.reports import Sighting
+from fescueseam.retries.backoff import Breaker
+from fescueseam.upkeep.documents import TABLES_PREFIX
+from fescueseam.upkeep.keeper import KeeperInput, ReadTable, TableKeeper, WriteTable
+from fescueseam.upkeep.planner import Wanted
+from fescueseam_daemon.control.balancer_node import STAND_INS, BalancerNode
+
+
+@frozen
+class TableStep:
+    """Hold a call of the store that a keeper asks for."""
+
+    keeper: TableKeeper
+    call: ReadTable | WriteTable
+
+
+class TableSet:
+    """Hold one keeper for each table that this balancer may write."""
+
+    def __init__(self, node: BalancerNode, rng: random.Random) -> None:
+        """Start with no table."""
+        self.keepers: dict[str, TableKeeper] = {}
+        self.breaker = Breaker(rng)
+        self._node = node
+        self._rng = rng
+
+    def list_steps(self, now: float) -> list[TableStep]:
+        """Return the calls that are due."""
+        node = self._node
+        cfg = node.gossip.configuration
+        if not node.gossip.is_current(now):
+            return []
+        ranks = {
+            service.name: rank
+            for service in cfg.services
+            if (rank := node.find_rank(TABLES_PREFIX + service.name)) < STAND_INS
+        }
+        self.keepers = {name: self._keep(name, now) for name in ranks}
+        wanted = _Common.collect(cfg, node.sightings)
+        steps = []
+        for service, keeper in self.keepers.items():
+            given = KeeperInput(wanted.select(keeper), ranks[service], wanted.visible)
+            call = keeper.next_step(given, now)
+            if call is not None:
+                steps.append(TableStep(keeper, call))
+        return steps
+
+    def _keep(self, service: str, now: float) -> TableKeeper:
+        keeper = self.keepers.get(service)
+        if keeper is None:
+            node = self._node
+            name, incarnation = node.settings.name, node.incarnation
+            keeper = TableKeeper(service, name, incarnation, self._rng, now, self.breaker)
+        table = self._node.view.find_table(service)
+        if table is not None:
+            keeper.learn(table, now)
+        return keeper
+
+
+@frozen
+class _Common:
+    """Hold what the keepers of all services share in one round."""
+
+    by_service: dict[str, dict[str, Sighting]]
+    by_name: dict[str, Sighting]
+    drained: frozenset[str]
+    out: frozenset[str]
+    visible: frozenset[str]
+    owners: dict[tuple[str, int], str]
+
+    @classmethod
+    def collect(cls, cfg: Configuration, sightings: dict[str, Sighting]) -> "_Common":
+        """Sort the sightings once for all keepers."""
+        by_service: dict[str, dict[str, Sighting]] = {}
+        owners: dict[tuple[str, int], Sighting] = {}
+        for name, sighting in sightings.items():
+            facts = sighting.facts
+            by_service.setdefault(facts.service, {})[name] = sighting
+            place = facts.address, facts.control_port
+            known = owners.get(place)
+            is_newer = known is None or facts.incarnation > known.facts.incarnation
+            if sighting.status is Status.ALIVE and is_newer:
+                owners[place] = sighting
+        return cls(
+            by_service,
+            sightings,
+            frozenset(rule.name for rule in cfg.endpoints if rule.drain),
+            frozenset(item.name for item in cfg.data_centres if item.state is DataCentreState.OUT),
+            frozenset(
+                sighting.facts.data_centre
+                for sighting in sightings.values()
+                if sighting.status is Status.ALIVE
+            ),
+            {place: sighting.facts.name for place, sighting in owners.items()},
+        )
+
+    def select(self, keeper: TableKeeper) -> Wanted:
+        """Return what bears on one keeper's table."""
+        own = dict(self.by_service.get(keeper.table.service, {}))
+        for member in keeper.table.members:
+            if member.name in self.by_name:
+                own[member.name] = self.by_name[member.name]
+        return Wanted(own, self.drained, self.out, address_owners=self.owners)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -0,0 +1,162 @@
+"""Track the processes that announce themselves here, by heartbeats."""
+
+from attrs import define, evolve, frozen
+
+from fescueseam.membership.facts import (
+    Announcement,
+    EventKind,
+    MembershipEvent,
+    ProcessFacts,
+    Status,
+)
+
+SUSPECT_AFTER_S = 1.4
+"""Suspect a process after this silence; every keeper of it hears it once a second."""
+DEAD_AFTER_S = 3.0
+FORGET_AFTER_S = 7200.0
+"""Forget a dead process after this silence, longer than the store may be away."""
+OWN_PAUSE_S = 1.0
+"""Take a longer gap between two ticks for a pause of this process."""
+MEMBERS_LIMIT = 4096
+
+
+@define
+class Record:
+    """Keep one process with what its last heartbeat said."""
+
+    facts: ProcessFacts
+    heartbeat: int
+    heard_at: float
+    status: Status = Status.ALIVE
+    config_version: int = 0
+    epoch: int = 0
+
+
+@frozen
+class DetectorSettings:
+    """Hold the waits of the failure detector, in seconds."""
+
+    suspect_after_s: float = SUSPECT_AFTER_S
+    dead_after_s: float = DEAD_AFTER_S
+    forget_after_s: float = FORGET_AFTER_S
+    own_pause_s: float = OWN_PAUSE_S
+    members_limit: int = MEMBERS_LIMIT
+
+
+class Membership:
+    """Turn announcements and silence into events.
+
+    A process is believed by its heartbeats, never by its health endpoint. What is older than
+    the known incarnation or heartbeat has no effect. Silence counts only while this process
+    itself runs and hears somebody: after its own pause, or cut off from all, it accuses nobody.
+    """
+
+    def __init__(self, now: float, settings: DetectorSettings | None = None) -> None:
+        """Start with no process known."""
+        self.turned_down = 0
+        self.records: dict[str, Record] = {}
+        self._settings = settings or DetectorSettings()
+        self._ticked_at = now
+        self._heard_at = now
+
+    def note_heard(self, now: float) -> None:
+        """Record that any other process was heard."""
+        self._heard_at = max(self._heard_at, now)
+
+    def on_announce(self, announcement: Announcement, now: float) -> list[MembershipEvent]:
+        """Take a heartbeat and return what it changes."""
+        self.note_heard(now)
+        record = self.records.get(announcement.facts.name)
+        if record is None:
+            return self._join(announcement, now)
+        if not _is_newer(announcement, record):
+            return []
+        events = _compare(record, announcement.facts)
+        record.facts = announcement.facts
+        record.heartbeat = announcement.heartbeat
+        record.config_version = announcement.config_version
+        record.epoch = announcement.epoch
+        record.heard_at = now
+        record.status = Status.ALIVE
+        return events
+
+    def on_tick(self, now: float) -> list[MembershipEvent]:
+        """Return who became suspected or dead since the last tick."""
+        paused_s = now - self._ticked_at
+        self._ticked_at = now
+        if paused_s > self._settings.own_pause_s:
+            self._forgive(now)
+            return []
+        if now - self._heard_at > self._settings.suspect_after_s:
+            return []
+        return [event for record in list(self.records.values()) for event in self._age(record, now)]
+
+    def count(self, status: Status) -> int:
+        """Return how many processes have a status."""
+        return sum(record.status is status for record in self.records.values())
+
+    def _join(self, announcement: Announcement, now: float) -> list[MembershipEvent]:
+        if len(self.records) >= self._settings.members_limit and not self._evict():
+            self.turned_down += 1
+            return []
+        facts = announcement.facts
+        self.records[facts.name] = Record(
+            facts,
+            announcement.heartbeat,
+            now,
+            config_version=announcement.config_version,
+            epoch=announcement.epoch,
+        )
+        return [MembershipEvent(EventKind.JOINED, facts)]
+
+    def _evict(self) -> bool:
+        dead = [record for record in self.records.values() if record.status is Status.DEAD]
+        if not dead:
+            return False
+        del self.records[min(dead, key=lambda record: record.heard_at).facts.name]
+        return True
+
+    def _forgive(self, now: float) -> None:
+        # The queue may hold heartbeats of the pause; give them time to be read.
+        self._heard_at = now
+        for record in self.records.values():
+            if record.status is not Status.DEAD:
+                record.heard_at = now
+
+    def _age(self, record: Record, now: float) -> list[MembershipEvent]:
+        silence_s = now - record.heard_at
+        if silence_s > self._settings.forget_after_s:
+            del self.records[record.facts.name]
+            return []
+        status = self._judge(silence_s)
+        if status is record.status or record.status is Status.DEAD:
+            return []
+        record.status = status
+        kind = EventKind.DIED if status is Status.DEAD else EventKind.SUSPECTED
+        return [MembershipEvent(kind, record.facts)]
+
+    def _judge(self, silence_s: float) -> Status:
+        if silence_s > self._settings.dead_after_s:
+            return Status.DEAD
+        if silence_s > self._settings.suspect_after_s:
+            return Status.SUSPECTED
+        return Status.ALIVE
+
+
+def _is_newer(announcement: Announcement, record: Record) -> bool:
+    known = record.facts.incarnation
+    if announcement.facts.incarnation != known:
+        return announcement.facts.incarnation > known
+    return announcement.heartbeat > record.heartbeat
+
+
+def _compare(record: Record, facts: ProcessFacts) -> list[MembershipEvent]:
+    if facts.incarnation > record.facts.incarnation:
+        return [MembershipEvent(EventKind.RESTARTED, facts)]
+    events = []
+    if record.status is not Status.ALIVE:
+        events.append(MembershipEvent(EventKind.RECOVERED, facts))
+    # Health lags and misleads, so its change alone is no event.
+    if evolve(record.facts, healthy=True) != evolve(facts, healthy=True):
+        events.append(MembershipEvent(EventKind.CHANGED, facts))
+    return events
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/upkeep/history.py
@@ -0,0 +1,69 @@
+"""Remember recent epochs and tell whether a change keeps majorities meeting."""
+
+from attrs import define, field, frozen
+
+from fescueseam.claims.registry import PACKET_LIFETIME_S, count_majority
+from fescueseam.routing.table import ROW_CANDIDATES, MemberState, Table, compute_row
+
+HISTORY_LIMIT = 64
+"""Bound the remembered epochs; while full, the set of members does not change."""
+
+
+@frozen
+class _Epoch:
+    table: Table
+    replaced_at: float
+
+
+def list_rows(table: Table) -> tuple[frozenset[str], ...]:
+    """Return the names in each bucket's row; one set stands for all if all are equal."""
+    active = sum(member.state is MemberState.ACTIVE for member in table.members)
+    if active <= ROW_CANDIDATES:
+        return (frozenset(member.name for member in table.members),)
+    return tuple(
+        frozenset(member.name for member in compute_row(table, bucket).members)
+        for bucket in range(table.buckets)
+    )
+
+
+def do_majorities_meet(one: frozenset[str], other: frozenset[str]) -> bool:
+    """Tell whether every majority of one set shares a member with every one of the other."""
+    needed = count_majority(len(one)) + count_majority(len(other))
+    return needed > len(one | other)
+
+
+def do_tables_meet(one: Table, other: Table) -> bool:
+    """Tell whether majorities of each bucket's rows share a member."""
+    rows, other_rows = list_rows(one), list_rows(other)
+    count = max(len(rows), len(other_rows))
+    return all(
+        do_majorities_meet(rows[bucket % len(rows)], other_rows[bucket % len(other_rows)])
+        for bucket in range(count)
+    )
+
+
+@define
+class TableHistory:
+    """Keep the epochs of which packets may still arrive."""
+
+    since: float
+    """Know every epoch from this time on."""
+    _epochs: list[_Epoch] = field(factory=list)
+
+    def record(self, replaced: Table, now: float) -> None:
+        """Remember an epoch that was just replaced."""
+        self._epochs.append(_Epoch(replaced, now))
+
+    def forget_before(self, now: float) -> None:
+        """Forget epochs older than a packet can live."""
+        self._epochs = [kept for kept in self._epochs if now - kept.replaced_at < PACKET_LIFETIME_S]
+
+    def is_complete(self, now: float) -> bool:
+        """Tell whether every epoch of which a packet may arrive is known."""
+        return now - self.since >= PACKET_LIFETIME_S and len(self._epochs) < HISTORY_LIMIT
+
+    def allows(self, current: Table, planned: Table) -> bool:
+        """Tell whether majorities of the planned rows meet those of all recent ones."""
+        if not all(do_tables_meet(kept.table, planned) for kept in self._epochs):
+            return False
+        return do_tables_meet(current, planned)
