--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
@@ -0,0 +1,200 @@
+"""Run the process beside a backend server."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+
+from fescueseam.admission.gate import LoadReport
+from fescueseam.agent.core import Agent
+from fescueseam.conf.loading import find_admission
+from fescueseam.conf.models import AdmissionRules, BackendSettings, ProcessSettings
+from fescueseam.exceptions import SettingsError
+from fescueseam.flows.keys import FlowKey
+from fescueseam.messages.codec import build_keyring
+from fescueseam.routing.table import MemberState
+from fescueseam.routing.view import View
+from fescueseam_daemon.backend import BackendProbe
+from fescueseam_daemon.channel import Channel
+from fescueseam_daemon.control.loops import AgentControl
+from fescueseam_daemon.delivery import Delivery
+from fescueseam_daemon.effects import Executor
+from fescueseam_daemon.http import StatusServer
+from fescueseam_daemon.metrics import Metrics
+
+TICK_S = 0.02
+LEAVE_S = 3.0
+"""Wait at most this long for the table to say that this agent is leaving, in seconds."""
+
+log = logging.getLogger(__name__)
+
+
+@define
+class AgentDaemon:
+    """Join the agent's decisions with its sockets."""
+
+    settings: ProcessSettings
+    incarnation: int = field(factory=time.time_ns)
+    metrics: Metrics = field(factory=Metrics)
+    view: View = field(factory=View)
+    core: Agent = field(init=False)
+    channel: Channel = field(init=False)
+    delivery: Delivery = field(init=False)
+    probe: BackendProbe = field(init=False)
+    executor: Executor = field(init=False)
+    control: AgentControl = field(init=False)
+    http: StatusServer = field(init=False)
+    _report: LoadReport | None = None
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        backend = require_backend(settings)
+        self.core = Agent(
+            settings.name,
+            self.incarnation,
+            settings.service,
+            settings.data_centre,
+            time.monotonic(),
+            AdmissionRules(),
+            self.view,
+        )
+        self.channel = Channel(
+            settings.address, settings.control_port, build_keyring(settings.keys), self.metrics
+        )
+        self.delivery = Delivery(
+            settings.address,
+            backend,
+            settings.fabric_address,
+            settings.fabric_port,
+            self._note_answer,
+        )
+        self.probe = BackendProbe(backend.load_url, self._take_report, self._lose_backend)
+        self.executor = Executor(
+            settings.service,
+            self.channel,
+            self.metrics,
+            self.delivery.send_to_caller,
+            self.delivery.deliver,
+            self.delivery.close_flow,
+            self.probe.request,
+        )
+        self.control = AgentControl(settings, self.incarnation, self.view, self.channel)
+        self.http = StatusServer(
+            settings.address,
+            settings.metrics_port,
+            self.metrics.registry,
+            self.describe_status,
+            self.is_ready,
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open every socket and begin."""
+        self.channel.start()
+        self.delivery.start(nursery)
+        self.probe.start(nursery)
+        self.http.start()
+        await self.control.start(nursery)
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._tick)
+        log.info("agent started", extra={"process": self.settings.name})
+
+    async def drain(self) -> None:
+        """Take no new flow and wait for what is open, up to the operators' bound."""
+        self.core.stopping = True
+        self._update()
+        log.info("agent drains", extra={"open_flows": len(self.core.home.flows)})
+        with trio.move_on_after(self.settings.drain_timeout_s):
+            with trio.move_on_after(LEAVE_S):
+                await self._wait_while(self._is_candidate)
+            await self._wait_while(self._is_needed)
+
+    async def _wait_while(self, condition: Callable[[], bool]) -> None:
+        while condition():
+            await trio.sleep(TICK_S)
+
+    def _is_candidate(self) -> bool:
+        table = self.view.find_table(self.settings.service)
+        members = table.members if table is not None else ()
+        return any(
+            member.name == self.settings.name and member.state is MemberState.ACTIVE
+            for member in members
+        )
+
+    def _is_needed(self) -> bool:
+        return bool(len(self.core.home.flows) or self.core.recorder.openings)
+
+    async def close(self) -> None:
+        """Close every socket."""
+        await self.control.close()
+        await self.probe.close()
+        self.http.close()
+        self.delivery.close()
+        self.channel.close()
+        log.info("agent closed", extra={"process": self.settings.name})
+
+    def is_ready(self) -> bool:
+        """Tell whether the configuration and the service's table are known."""
+        known = self.view.find_table(self.settings.service) is not None
+        return self.view.cfg.version > 0 and known
+
+    def describe_status(self) -> dict[str, object]:
+        """Return the status page."""
+        gate = self.core.home.gate
+        return self.control.describe_status() | {
+            "service": self.settings.service,
+            "open_flows": len(self.core.home.flows),
+            "busy": gate.busy,
+            "slot_bound": gate.slot_bound,
+            "connections": gate.connections,
+            "draining": gate.draining,
+            "recorded_flows": len(self.core.recorder.homes),
+        }
+
+    async def _receive(self) -> None:
+        while True:
+            for message in await self.channel.receive():
+                if not self.control.handle_message(message):
+                    self.executor.run(self.core.handle_message(message, time.monotonic()))
+
+    async def _tick(self) -> None:
+        while True:
+            self._update()
+            self.executor.run(self.core.tick(time.monotonic()))
+            await trio.sleep(TICK_S)
+
+    def _update(self) -> None:
+        now = time.monotonic()
+        self.view.leased = self.control.hears_peers(now)
+        try:
+            rules = find_admission(self.view.cfg, self.settings.service, self.settings.data_centre)
+            self.core.home.gate.change_rules(rules, now)
+        except SettingsError:
+            # The service is not configured yet, or no longer; no packet can name it.
+            pass
+        reported = self._report is not None and self._report.draining
+        self.core.update_draining(reported)
+        load = self.core.home.gate.describe_load(now)
+        gate = self.core.home.gate
+        self.control.report(load, gate.draining, len(self.core.home.flows))
+        self.metrics.open_flows.set(len(self.core.home.flows))
+        self.metrics.slot_bound.set(gate.slot_bound)
+        self.metrics.config_version.set(self.view.cfg.version)
+
+    def _note_answer(self, flow: FlowKey) -> None:
+        self.core.handle_answer(flow, time.monotonic())
+
+    def _take_report(self, report: LoadReport) -> None:
+        self._report = report
+        self.executor.run(self.core.handle_report(report, time.monotonic()))
+
+    def _lose_backend(self) -> None:
+        self.executor.run(self.core.handle_backend_lost(time.monotonic()))
+
+
+def require_backend(settings: ProcessSettings) -> BackendSettings:
+    """Return the backend server's settings; raise SettingsError if there are none."""
+    if settings.backend is None or not settings.service:
+        raise SettingsError("an agent needs a service and a backend server")
+    return settings.backend
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/backend.py
@@ -0,0 +1,81 @@
+"""Ask the backend server beside an agent for its load."""
+
+import time
+from collections.abc import Callable
+
+import httpx
+import trio
+from attrs import define, field
+
+from fescueseam.admission.gate import LoadReport
+
+POLL_S = 0.5
+TIMEOUT_S = 0.15
+LOST_AFTER_FAILURES = 3
+"""Take the backend server for gone after this many failed probes in a row."""
+
+ReportHook = Callable[[LoadReport], None]
+LostHook = Callable[[], None]
+
+
+@define
+class BackendProbe:
+    """Poll the load endpoint, and at once when the agent needs a fresh report."""
+
+    url: str
+    on_report: ReportHook
+    on_lost: LostHook
+    _wanted: trio.Event = field(factory=trio.Event)
+    _failures: int = 0
+    _client: httpx.AsyncClient | None = None
+
+    def request(self) -> None:
+        """Ask for a report that is newer than this call."""
+        self._wanted.set()
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to poll."""
+        self._client = httpx.AsyncClient(timeout=TIMEOUT_S)
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Close the connection to the load endpoint."""
+        if self._client is not None:
+            await self._client.aclose()
+
+    async def _run(self) -> None:
+        while True:
+            await self._probe()
+            with trio.move_on_after(POLL_S):
+                await self._wanted.wait()
+
+    async def _probe(self) -> None:
+        assert self._client is not None, "the probe is not started"
+        self._wanted = trio.Event()
+        requested = time.monotonic()
+        try:
+            answer = await self._client.get(self.url)
+            report = read_report(answer.json(), requested)
+        except httpx.ConnectError:
+            self._failures = LOST_AFTER_FAILURES
+            self.on_lost()
+            return
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            self._failures += 1
+            if self._failures == LOST_AFTER_FAILURES:
+                self.on_lost()
+            return
+        self._failures = 0
+        self.on_report(report)
+
+
+def read_report(value: dict[str, object], requested: float) -> LoadReport:
+    """Read the load endpoint's answer; raise KeyError, TypeError or ValueError if it is wrong."""
+    return LoadReport(
+        incarnation=int(str(value["incarnation"])),
+        busy=int(str(value["busy"])),
+        connections=int(str(value["open_connections"])),
+        requested=requested,
+        uptime_s=float(str(value["uptime_s"])),
+        draining=bool(value.get("draining", False)),
+    )
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/balancer.py
@@ -0,0 +1,109 @@
+"""Run the stateless packet path of an entry instance."""
+
+import logging
+import socket
+import time
+
+import trio
+from attrs import define, field
+
+from fescueseam.conf.models import ProcessSettings
+from fescueseam.messages.codec import build_keyring
+from fescueseam.packets.adapter import encapsulate
+from fescueseam.routing.balancer import Balancer
+from fescueseam.routing.view import View
+from fescueseam_daemon.channel import Channel
+from fescueseam_daemon.control.loops import BalancerControl
+from fescueseam_daemon.effects import Executor
+from fescueseam_daemon.http import StatusServer
+from fescueseam_daemon.metrics import Metrics
+from fescueseam_daemon.sockets import open_udp, receive_batch, send_datagram
+
+TICK_S = 0.1
+
+log = logging.getLogger(__name__)
+
+
+@define
+class BalancerDaemon:
+    """Join the balancer's decisions with its sockets."""
+
+    settings: ProcessSettings
+    incarnation: int = field(factory=time.time_ns)
+    metrics: Metrics = field(factory=Metrics)
+    view: View = field(factory=View)
+    core: Balancer = field(init=False)
+    channel: Channel = field(init=False)
+    executor: Executor = field(init=False)
+    control: BalancerControl = field(init=False)
+    http: StatusServer = field(init=False)
+    _packets: socket.socket | None = None
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.core = Balancer(settings.name, self.incarnation, self.view)
+        self.channel = Channel(
+            settings.address, settings.control_port, build_keyring(settings.keys), self.metrics
+        )
+        self.executor = Executor("", self.channel, self.metrics, self._send_to_caller)
+        self.control = BalancerControl(settings, self.incarnation, self.view, self.channel)
+        self.http = StatusServer(
+            settings.address,
+            settings.metrics_port,
+            self.metrics.registry,
+            self.control.describe_status,
+            self.is_ready,
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open every socket and begin."""
+        self._packets = open_udp(self.settings.address, self.settings.packet_port)
+        self.channel.start()
+        self.http.start()
+        await self.control.start(nursery)
+        nursery.start_soon(self._receive_packets)
+        nursery.start_soon(self._receive_messages)
+        nursery.start_soon(self._tick)
+        log.info("balancer started", extra={"process": self.settings.name})
+
+    async def drain(self) -> None:
+        """Go on serving until the fabric has had time to leave this instance out."""
+        log.info("balancer drains", extra={"process": self.settings.name})
+        await trio.sleep(min(1.0, self.settings.drain_timeout_s))
+
+    async def close(self) -> None:
+        """Close every socket."""
+        await self.control.close()
+        self.http.close()
+        self.channel.close()
+        if self._packets is not None:
+            self._packets.close()
+            self._packets = None
+        log.info("balancer closed", extra={"process": self.settings.name})
+
+    def is_ready(self) -> bool:
+        """Tell whether the configuration is known and current."""
+        return self.view.cfg.version > 0 and self.control.is_current()
+
+    async def _receive_packets(self) -> None:
+        assert self._packets is not None, "the balancer is not started"
+        while True:
+            for datagram in await receive_batch(self._packets):
+                self.executor.run(self.core.handle_packet(datagram))
+
+    async def _receive_messages(self) -> None:
+        while True:
+            for message in await self.channel.receive():
+                self.control.handle_message(message)
+
+    async def _tick(self) -> None:
+        while True:
+            self.metrics.config_version.set(self.view.cfg.version)
+            await trio.sleep(TICK_S)
+
+    def _send_to_caller(self, raw: bytes) -> None:
+        if raw and self._packets is not None:
+            settings = self.settings
+            send_datagram(
+                self._packets, encapsulate(raw), settings.fabric_address, settings.fabric_port
+            )
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/channel.py
@@ -0,0 +1,65 @@
+"""Exchange sealed messages with other processes over one UDP socket."""
+
+import socket
+
+from attrs import define, evolve, field
+
+from fescueseam.exceptions import MessageError
+from fescueseam.messages.codec import Keyring, decode_message, encode_message
+from fescueseam.messages.replay import ReplayGuard
+from fescueseam.messages.types import Message
+from fescueseam_daemon.metrics import Metrics
+from fescueseam_daemon.sockets import open_udp, receive_batch, send_datagram
+
+
+@define
+class Channel:
+    """Number, seal, send, receive and check messages."""
+
+    address: str
+    port: int
+    keyring: Keyring
+    metrics: Metrics
+    _guard: ReplayGuard = field(factory=ReplayGuard)
+    _sequence: int = 0
+    _sock: socket.socket | None = None
+
+    def start(self) -> None:
+        """Bind the socket."""
+        self._sock = open_udp(self.address, self.port)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    def send(self, address: str, port: int, message: Message) -> None:
+        """Send a message; a full buffer or an oversize message is counted and dropped."""
+        if self._sock is None:
+            return
+        self._sequence += 1
+        try:
+            datagram = encode_message(evolve(message, sequence=self._sequence), self.keyring)
+        except MessageError as exc:
+            self.metrics.count_drop(exc.kind, message.service, message.class_name)
+            return
+        if send_datagram(self._sock, datagram, address, port):
+            self.metrics.messages.labels("out", type(message.body).__name__).inc()
+            self.metrics.message_bytes.labels("out").inc(len(datagram))
+
+    async def receive(self) -> list[Message]:
+        """Wait for messages; what cannot be used is counted and dropped."""
+        assert self._sock is not None, "the channel is not started"
+        messages = []
+        for datagram in await receive_batch(self._sock):
+            self.metrics.message_bytes.labels("in").inc(len(datagram))
+            try:
+                message = decode_message(datagram, self.keyring)
+                self._guard.check(message.sender, message.incarnation, message.sequence)
+            except MessageError as exc:
+                self.metrics.count_drop(exc.kind)
+                continue
+            self.metrics.messages.labels("in", type(message.body).__name__).inc()
+            messages.append(message)
+        return messages
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/effects.py
@@ -0,0 +1,95 @@
+"""Carry out what the decisions ask for."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+from fescueseam.effects import (
+    CloseFlow,
+    Deliver,
+    Drop,
+    Effect,
+    Observe,
+    Probe,
+    Refuse,
+    Send,
+)
+from fescueseam.exceptions import ErrorKind
+from fescueseam.flows.keys import FlowKey
+from fescueseam.packets.refusals import build_refusal
+from fescueseam_daemon.channel import Channel
+from fescueseam_daemon.metrics import Metrics
+
+
+def ignore_delivery(effect: Deliver) -> None:
+    """Deliver nothing; for processes without a backend server."""
+
+
+def ignore_flow(flow: FlowKey) -> None:
+    """Close nothing; for processes without a backend server."""
+
+
+def ignore_probe() -> None:
+    """Probe nothing; for processes without a backend server."""
+
+
+@define
+class Executor:
+    """Carry out effects by the channel and the outlets given."""
+
+    service: str
+    channel: Channel
+    metrics: Metrics
+    send_to_caller: Callable[[bytes], None]
+    deliver: Callable[[Deliver], None] = ignore_delivery
+    close_flow: Callable[[FlowKey], None] = ignore_flow
+    probe: Callable[[], None] = ignore_probe
+    _kinds: dict[type, Callable[[Effect], None]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._kinds = {
+            Send: self._send,
+            Deliver: self._deliver,
+            Refuse: self._refuse,
+            Drop: self._drop,
+            CloseFlow: self._close_flow,
+            Probe: self._probe,
+            Observe: self._observe,
+        }
+
+    def run(self, effects: Iterable[Effect]) -> None:
+        """Carry out effects in their order."""
+        for effect in effects:
+            self._kinds[type(effect)](effect)
+
+    def _send(self, effect: Effect) -> None:
+        assert isinstance(effect, Send)
+        self.channel.send(effect.address, effect.port, effect.message)
+
+    def _deliver(self, effect: Effect) -> None:
+        assert isinstance(effect, Deliver)
+        self.deliver(effect)
+        name = effect.service_class.name
+        self.metrics.packets.labels(self.service, name, "delivered").inc()
+
+    def _refuse(self, effect: Effect) -> None:
+        assert isinstance(effect, Refuse)
+        refusal = build_refusal(effect.packet, effect.service_class.transport)
+        self.send_to_caller(refusal)
+        name = effect.service_class.name
+        self.metrics.refused.labels(self.service, name, effect.kind.value).inc()
+
+    def _drop(self, effect: Effect) -> None:
+        assert isinstance(effect, Drop)
+        self.metrics.count_drop(ErrorKind(effect.kind), self.service, effect.class_name)
+
+    def _close_flow(self, effect: Effect) -> None:
+        assert isinstance(effect, CloseFlow)
+        self.close_flow(effect.flow)
+
+    def _probe(self, effect: Effect) -> None:
+        self.probe()
+
+    def _observe(self, effect: Effect) -> None:
+        assert isinstance(effect, Observe)
+        self.metrics.observe(effect.measure, effect.value, self.service, effect.class_name)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/http.py
@@ -0,0 +1,83 @@
+"""Serve metrics, health and status over HTTP beside the event loop."""
+
+import json
+import socketserver
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+from wsgiref.simple_server import WSGIRequestHandler, WSGIServer, make_server
+
+from prometheus_client import CollectorRegistry, make_wsgi_app
+
+StatusSource = Callable[[], dict[str, object]]
+ReadinessSource = Callable[[], bool]
+StartResponse = Callable[..., Any]
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log_message(self, format: str, *args: object) -> None:
+        """Write nothing; requests are not changes of state."""
+
+
+class _Server(socketserver.ThreadingMixIn, WSGIServer):
+    daemon_threads = True
+
+
+class StatusServer:
+    """Serve /metrics, /status, /healthz and /readyz on a thread of its own."""
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        registry: CollectorRegistry,
+        status: StatusSource,
+        is_ready: ReadinessSource,
+    ) -> None:
+        """Keep the sources; nothing is bound before `start`."""
+        self._address = address
+        self._port = port
+        self._status = status
+        self._is_ready = is_ready
+        self._metrics_app = make_wsgi_app(registry)
+        self._server: WSGIServer | None = None
+
+    def start(self) -> None:
+        """Bind the port and begin to serve."""
+        self._server = make_server(
+            self._address,
+            self._port,
+            self._serve,
+            server_class=_Server,
+            handler_class=_QuietHandler,
+        )
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.shutdown()
+            self._server.server_close()
+            self._server = None
+
+    def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        path = environ.get("PATH_INFO", "")
+        if path == "/metrics":
+            answer: Iterable[bytes] = self._metrics_app(environ, start_response)
+            return answer
+        if path == "/healthz":
+            return _answer(start_response, "200 OK", {"healthy": True})
+        if path == "/readyz":
+            ready = self._is_ready()
+            status = "200 OK" if ready else "503 Service Unavailable"
+            return _answer(start_response, status, {"ready": ready})
+        if path == "/status":
+            return _answer(start_response, "200 OK", self._status())
+        return _answer(start_response, "404 Not Found", {"error": "no such page"})
+
+
+def _answer(
+    start_response: StartResponse, status: str, value: dict[str, object]
+) -> Iterable[bytes]:
+    start_response(status, [("Content-Type", "application/json")])
+    return [json.dumps(value).encode() + b"\n"]
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
@@ -0,0 +1,82 @@
+"""Count and observe what a daemon does."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from fescueseam.effects import Measure
+from fescueseam.exceptions import ErrorKind
+
+SECONDS_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0, 600.0, 3600.0)
+COUNT_BUCKETS = (1, 2, 3, 4, 6, 8, 12, 16)
+LABELS = ("service", "service_class")
+
+
+class Metrics:
+    """Hold the metrics of one process in a registry of its own."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        self.registry = CollectorRegistry()
+        self.packets = Counter(
+            "fescueseam_packets_total",
+            "Packets by what was done with them.",
+            (*LABELS, "outcome"),
+            registry=self.registry,
+        )
+        self.dropped = Counter(
+            "fescueseam_dropped_total",
+            "Packets and messages dropped, by error kind.",
+            (*LABELS, "kind"),
+            registry=self.registry,
+        )
+        self.refused = Counter(
+            "fescueseam_refused_total",
+            "Openings refused before any delivery, by error kind.",
+            (*LABELS, "kind"),
+            registry=self.registry,
+        )
+        self.messages = Counter(
+            "fescueseam_messages_total",
+            "Messages between processes, by direction and body.",
+            ("direction", "body"),
+            registry=self.registry,
+        )
+        self.message_bytes = Counter(
+            "fescueseam_message_bytes_total",
+            "Bytes of messages between processes, by direction.",
+            ("direction",),
+            registry=self.registry,
+        )
+        self.config_version = Gauge(
+            "fescueseam_config_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.open_flows = Gauge(
+            "fescueseam_open_flows", "Flows held by this agent.", registry=self.registry
+        )
+        self.slot_bound = Gauge(
+            "fescueseam_slot_bound", "Requests admitted at once.", registry=self.registry
+        )
+        self._histograms = {
+            measure: Histogram(
+                f"fescueseam_{measure.value}",
+                f"Distribution of {measure.value} for each service and class.",
+                LABELS,
+                buckets=COUNT_BUCKETS if measure is Measure.ATTEMPTS else SECONDS_BUCKETS,
+                registry=self.registry,
+            )
+            for measure in Measure
+        }
+
+    def observe(self, measure: Measure, value: float, service: str, class_name: str) -> None:
+        """Record a value in the histogram of a class."""
+        self._histograms[measure].labels(service, class_name).observe(value)
+
+    def count_drop(self, kind: ErrorKind, service: str = "", class_name: str = "") -> None:
+        """Count a dropped packet or message."""
+        self.dropped.labels(service, class_name, kind.value).inc()
+
+
+Snapshot = Callable[[], dict[str, object]]
