Add the demonstration of the whole path as separate processes

It starts the stand-ins, three balancers and an agent beside each of ten backend servers, applies the configuration and goes through five steps; the proof at the end reads each backend server's own counts.

--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Show the whole path as separate processes on one machine."""
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
@@ -0,0 +1,96 @@
+"""Run a demonstration from start to end."""
+
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import httpx
+import trio
+import typer
+
+from ..caller_socket import CallerSettings, CallerSocket
+from ..running import run_until_stopped
+from .operator import CommandError, Operator
+from .plan import (
+    CALLERS_PORT,
+    DeploymentPlan,
+    plan_agent,
+    plan_backend,
+    plan_balancer,
+    plan_deployment,
+    plan_fabric,
+    plan_platform,
+)
+from .processes import Launcher, StartError
+from .steps import HTTP_TIMEOUT_S, Demonstration, say
+
+LIMIT_S = 240.0
+"""Bound the whole demonstration, in seconds."""
+
+
+async def start_processes(plan: DeploymentPlan, launcher: Launcher, scratch: Path) -> None:
+    """Start everything, apply the configuration and wait until it is in force."""
+    standins = [plan_platform(plan), plan_fabric(plan)]
+    standins += [plan_backend(plan, endpoint) for endpoint in plan.endpoints]
+    say(f"starting {len(standins)} stand-ins")
+    for process in standins:
+        launcher.start(process)
+    await launcher.wait_ready([process.name for process in standins])
+    daemons = [plan_balancer(plan, balancer, scratch) for balancer in plan.balancers]
+    daemons += [plan_agent(plan, endpoint, scratch) for endpoint in plan.endpoints]
+    say(f"starting {len(daemons)} processes of fescueseam")
+    for process in daemons:
+        launcher.start(process)
+    say(await Operator(plan).apply(plan.folder))
+    await launcher.wait_ready([process.name for process in daemons])
+    say("every process is ready")
+
+
+async def demonstrate(plan: DeploymentPlan, launcher: Launcher, scratch: Path) -> bool:
+    """Run a demonstration; return whether each step held."""
+    sock = CallerSocket(
+        CallerSettings((plan.fabric_address, CALLERS_PORT), bind_address=plan.caller_address)
+    )
+    held = False
+    async with (
+        httpx.AsyncClient(timeout=HTTP_TIMEOUT_S, trust_env=False) as client,
+        trio.open_nursery() as nursery,
+    ):
+        try:
+            await start_processes(plan, launcher, scratch)
+            await sock.start(nursery)
+            held = await Demonstration(plan, launcher, sock, client).run(nursery)
+        except (StartError, CommandError, httpx.HTTPError) as exc:
+            say(f"FAULT {exc}")
+        finally:
+            nursery.cancel_scope.cancel()
+    return held
+
+
+def main(
+    deployment: Annotated[str, typer.Option(help="ribera-norte or lintang")] = "ribera-norte",
+    examples: Annotated[Path, typer.Option(help="folder of the examples")] = Path("examples"),
+) -> None:
+    """Start a deployment, put it through its steps and end it."""
+    plan = plan_deployment(deployment, examples.resolve())
+    scratch = Path(tempfile.mkdtemp(prefix=f"{deployment}-"))
+    launcher = Launcher(scratch)
+    held: list[bool] = []
+
+    async def work() -> None:
+        try:
+            with trio.move_on_after(LIMIT_S) as scope:
+                held.append(await demonstrate(plan, launcher, scratch))
+            if scope.cancelled_caught:
+                say(f"FAULT not done within {LIMIT_S} s")
+        finally:
+            with trio.CancelScope(shield=True):
+                await launcher.close()
+
+    run_until_stopped(work)
+    say("every step held" if any(held) else f"not every step held; logs are in {scratch}")
+    raise typer.Exit(0 if any(held) else 1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/plan.py
@@ -0,0 +1,257 @@
+"""Plan the processes of one deployment and their addresses."""
+
+import json
+import sys
+from pathlib import Path
+
+from attrs import frozen
+
+from fescueseam.conf.documents import SettingsFile
+from fescueseam.conf.loading import load_configuration
+from fescueseam.conf.models import Configuration, FlowKind, Role, Service, Transport
+
+BALANCERS = 3
+ENDPOINTS = {
+    "ribera-norte": {"bitacora": 7, "acopio": 3},
+    "lintang": {"katalog": 7, "foto-cocok": 3},
+}
+"""Count the endpoints of each service by deployment."""
+SUBNETS = {"ribera-norte": "127.40.0", "lintang": "127.50.0"}
+"""Bind each deployment in a network of its own, so that both can run at one time."""
+STORE_PORT = 7400
+CONTROL_PORT = 7411
+METRICS_PORT = 7412
+LOAD_PORT = 7480
+FABRIC_CONTROL_PORT = 7001
+CALLERS_PORT = 6081
+RETURN_PORT = 6080
+PACKET_PORT = 6080
+DECAPSULATION_PORT = 6081
+PORT_OFFSET = 10_000
+"""Keep backend servers off the ports that only a privileged user may bind."""
+FIRST_BALANCER_HOST = 11
+FIRST_ENDPOINT_HOST = 21
+DRAIN_TIMEOUT_S = 3.0
+WARM_UP_S = 30.0
+
+
+@frozen
+class ProcessPlan:
+    """Hold the command line of one process and where it tells that it is ready."""
+
+    name: str
+    command: tuple[str, ...]
+    ready_url: str
+
+
+@frozen
+class EndpointPlan:
+    """Hold one backend server with the process beside it."""
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+
+    @property
+    def url(self) -> str:
+        """Return where the backend server's own switches are."""
+        return f"http://{self.address}:{LOAD_PORT}"
+
+
+@frozen
+class BalancerPlan:
+    """Hold one balancer."""
+
+    name: str
+    data_centre: str
+    address: str
+
+
+@frozen
+class DeploymentPlan:
+    """Hold everything that one demonstration starts."""
+
+    name: str
+    cfg: Configuration
+    folder: Path
+    subnet: str
+    balancers: tuple[BalancerPlan, ...]
+    endpoints: tuple[EndpointPlan, ...]
+
+    @property
+    def store_url(self) -> str:
+        """Return where the platform stand-in is."""
+        return f"http://{self.subnet}.1:{STORE_PORT}"
+
+    @property
+    def fabric_address(self) -> str:
+        """Return the address of the fabric stand-in."""
+        return f"{self.subnet}.2"
+
+    @property
+    def caller_address(self) -> str:
+        """Return the address of the callers' socket."""
+        return f"{self.subnet}.3"
+
+    @property
+    def fabric_url(self) -> str:
+        """Return where the fabric's balancer list is."""
+        return f"http://{self.fabric_address}:{FABRIC_CONTROL_PORT}"
+
+
+def plan_deployment(name: str, examples: Path) -> DeploymentPlan:
+    """Plan the processes of an example deployment."""
+    folder = examples / name
+    sites = {path.stem: read_settings(path) for path in sorted(folder.glob("sites/*.json"))}
+    cfg = load_configuration(read_settings(folder / "base.json"), sites)
+    subnet = SUBNETS[name]
+    centres = [centre.name for centre in cfg.data_centres]
+    balancers = tuple(
+        BalancerPlan(
+            f"balancer-{index + 1}",
+            centres[index % len(centres)],
+            f"{subnet}.{FIRST_BALANCER_HOST + index}",
+        )
+        for index in range(BALANCERS)
+    )
+    names = [
+        (service, f"{service}-{index + 1}", centres[index % len(centres)])
+        for service, count in ENDPOINTS[name].items()
+        for index in range(count)
+    ]
+    endpoints = tuple(
+        EndpointPlan(endpoint, service, centre, f"{subnet}.{FIRST_ENDPOINT_HOST + host}")
+        for host, (service, endpoint, centre) in enumerate(names)
+    )
+    return DeploymentPlan(name, cfg, folder, subnet, balancers, endpoints)
+
+
+def read_settings(path: Path) -> SettingsFile:
+    """Read one settings file."""
+    return SettingsFile(str(path), path.read_bytes())
+
+
+def find_service(cfg: Configuration, name: str) -> Service:
+    """Return a service by name."""
+    return next(service for service in cfg.services if service.name == name)
+
+
+def plan_platform(plan: DeploymentPlan) -> ProcessPlan:
+    """Plan the platform stand-in."""
+    command = _standin("platform", "--address", f"{plan.subnet}.1", "--port", str(STORE_PORT))
+    return ProcessPlan("platform", command, f"{plan.store_url}/calls")
+
+
+def plan_fabric(plan: DeploymentPlan) -> ProcessPlan:
+    """Plan the fabric stand-in."""
+    balancers = [
+        word
+        for balancer in plan.balancers
+        for word in ("--balancer", f"{balancer.address}:{PACKET_PORT}")
+    ]
+    command = _standin(
+        "fabric",
+        *("--address", plan.fabric_address),
+        *("--port", str(CALLERS_PORT)),
+        *("--return-port", str(RETURN_PORT)),
+        *("--control-port", str(FABRIC_CONTROL_PORT)),
+        *("--duplicate-rate", "0.02", "--reorder-rate", "0.02"),
+        *balancers,
+    )
+    return ProcessPlan("fabric", command, f"{plan.fabric_url}/balancers")
+
+
+def plan_backend(plan: DeploymentPlan, endpoint: EndpointPlan) -> ProcessPlan:
+    """Plan the backend server stand-in of an endpoint."""
+    service = find_service(plan.cfg, endpoint.service)
+    rules = service.admission
+    words: list[str] = []
+    for service_class in service.classes:
+        option = "--request-port"
+        if service_class.transport is Transport.TCP:
+            continue
+        if service_class.transport is Transport.UDP:
+            option = "--udp-port"
+        elif service_class.kind is FlowKind.STREAM:
+            option = "--stream-port"
+        words += [option, str(service_class.port + PORT_OFFSET)]
+    command = _standin(
+        "backend",
+        *("--service", endpoint.service),
+        *("--name", endpoint.name),
+        *("--address", endpoint.address),
+        *("--load-port", str(LOAD_PORT)),
+        *("--decapsulation-port", str(DECAPSULATION_PORT)),
+        *("--slots", str(rules.slots)),
+        *("--connections", str(rules.connections)),
+        *("--cold-slots", str(rules.cold_slots)),
+        *("--cold-connections", str(rules.cold_connections)),
+        *("--warm-up-successes", str(rules.warm_up_successes)),
+        *("--warm-up-s", str(rules.warm_up_s)),
+        *words,
+    )
+    return ProcessPlan(f"{endpoint.name}-backend", command, f"{endpoint.url}/load")
+
+
+def plan_balancer(plan: DeploymentPlan, balancer: BalancerPlan, scratch: Path) -> ProcessPlan:
+    """Plan one balancer; its overlay is written to the scratch folder."""
+    overlay = _describe_process(plan, balancer.name, balancer.data_centre, balancer.address)
+    overlay |= {"role": Role.BALANCER.value, "packet_port": PACKET_PORT}
+    return _plan_daemon(plan, "balancer", balancer.name, balancer.address, overlay, scratch)
+
+
+def plan_agent(plan: DeploymentPlan, endpoint: EndpointPlan, scratch: Path) -> ProcessPlan:
+    """Plan the agent of one endpoint; its overlay is written to the scratch folder."""
+    overlay = _describe_process(plan, endpoint.name, endpoint.data_centre, endpoint.address)
+    overlay |= {
+        "role": Role.AGENT.value,
+        "service": endpoint.service,
+        "backend": {
+            "address": endpoint.address,
+            "load_url": f"{endpoint.url}/load",
+            "port_offset": PORT_OFFSET,
+            "decapsulation_port": DECAPSULATION_PORT,
+        },
+    }
+    return _plan_daemon(plan, "agent", endpoint.name, endpoint.address, overlay, scratch)
+
+
+def find_program(name: str) -> str:
+    """Return the path of a program that is installed beside the interpreter."""
+    return str(Path(sys.executable).with_name(name))
+
+
+def _describe_process(
+    plan: DeploymentPlan, name: str, data_centre: str, address: str
+) -> dict[str, object]:
+    return {
+        "name": name,
+        "data_centre": data_centre,
+        "address": address,
+        "control_port": CONTROL_PORT,
+        "metrics_port": METRICS_PORT,
+        "store_url": plan.store_url,
+        "fabric_address": plan.fabric_address,
+        "fabric_port": RETURN_PORT,
+        "drain_timeout_s": DRAIN_TIMEOUT_S,
+    }
+
+
+def _plan_daemon(
+    plan: DeploymentPlan,
+    role: str,
+    name: str,
+    address: str,
+    overlay: dict[str, object],
+    scratch: Path,
+) -> ProcessPlan:
+    path = scratch / f"{name}.json"
+    path.write_text(json.dumps(overlay, indent=2))
+    base = plan.folder / "processes" / "base.json"
+    command = (find_program("fescueseamd"), role, "--base", str(base), "--overlay", str(path))
+    return ProcessPlan(name, command, f"http://{address}:{METRICS_PORT}/readyz")
+
+
+def _standin(name: str, *words: str) -> tuple[str, ...]:
+    return (sys.executable, "-m", f"fescueseam_standins.{name}", *words)
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/steps.py
@@ -0,0 +1,249 @@
+"""Go through the steps of a demonstration and check what must hold in each."""
+
+from collections.abc import Awaitable, Callable
+
+import httpx
+import trio
+import typer
+from attrs import define, field
+
+from fescueseam.conf.models import FlowKind, Service, ServiceClass
+
+from ..caller import Outcome
+from ..caller_socket import CallerSocket
+from .operator import Operator
+from .plan import PACKET_PORT, DeploymentPlan, EndpointPlan
+from .processes import Launcher
+from .traffic import StreamWatch, Tally, Traffic
+
+STEP_S = 5.0
+SETTLE_S = 3.0
+"""Let a change take effect everywhere within this time, in seconds."""
+OBSERVE_S = 3.0
+RETURN_S = 10.0
+"""Expect work at a data centre within this time after it came back, in seconds."""
+FABRIC_NOTICE_S = 1.0
+"""Let the fabric notice a dead balancer after this time, in seconds."""
+LEAST_ANSWERED = 0.9
+"""Expect this share of the requests of each step to be answered."""
+HTTP_TIMEOUT_S = 5.0
+SHOWN_FAILURES = 5
+
+Action = Callable[[], Awaitable[None]]
+
+
+@define
+class StepResult:
+    """Hold one step's name, its count and what did not hold."""
+
+    name: str
+    tally: Tally = field(factory=Tally)
+    faults: list[str] = field(factory=list)
+
+
+class Demonstration:
+    """Hold the parts that the steps act on."""
+
+    def __init__(
+        self,
+        plan: DeploymentPlan,
+        launcher: Launcher,
+        sock: CallerSocket,
+        client: httpx.AsyncClient,
+    ) -> None:
+        self.plan = plan
+        self.launcher = launcher
+        self.client = client
+        self.operator = Operator(plan)
+        self.traffic = Traffic(sock, plan.cfg.services)
+        self.stream = StreamWatch(sock, *find_stream_class(plan))
+        self.results: list[StepResult] = []
+
+    async def run(self, nursery: trio.Nursery) -> bool:
+        """Go through every step; return whether each one held."""
+        nursery.start_soon(self.stream.run)
+        with trio.move_on_after(STEP_S):
+            await self.stream.opened.wait()
+        say(f"stream opened by {self.stream.backend or 'nobody'} {self.stream.fault}")
+        await self._step("requests and a stream on two services", self._pass_time)
+        await self._step("kill a balancer", self._kill_balancer)
+        await self._step("drain the backend server that holds the stream", self._drain)
+        centre = self._choose_data_centre()
+        await self._step(f"take {centre} out", lambda: self._take_out(centre), may_break=True)
+        await self._step(f"bring {centre} back, cold", lambda: self._bring_back(centre))
+        await self._check_proofs()
+        return all(not result.faults for result in self.results)
+
+    async def _step(self, name: str, action: Action, may_break: bool = False) -> None:
+        result = StepResult(name)
+        self.results.append(result)
+        say(f"step {len(self.results)}: {name}")
+        chunks = self.stream.chunks
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.traffic.run, result.tally, stop)
+            nursery.start_soon(self._report_progress, result.tally, stop)
+            await action()
+            stop.set()
+        self._judge(result, may_break, chunks)
+        show(result, self.stream)
+
+    async def _report_progress(self, tally: Tally, stop: trio.Event) -> None:
+        while not stop.is_set():
+            with trio.move_on_after(1.0):
+                await stop.wait()
+            counts = ", ".join(f"{outcome.value} {tally.count(outcome)}" for outcome in Outcome)
+            say(f"  ... {counts}, stream chunk {self.stream.chunks}")
+
+    def _judge(self, result: StepResult, may_break: bool, chunks: int) -> None:
+        tally = result.tally
+        if tally.wrong:
+            result.faults.append(f"{len(tally.wrong)} wrong answers")
+        if tally.broken and not may_break:
+            result.faults.append(f"{len(tally.broken)} broken requests")
+        for service in self.plan.cfg.services:
+            answered = tally.count(Outcome.ANSWERED, service.name)
+            sent = sum(tally.count(outcome, service.name) for outcome in Outcome)
+            if answered < LEAST_ANSWERED * sent or not answered:
+                result.faults.append(f"{service.name}: {answered} of {sent} answered")
+        if self.stream.fault:
+            result.faults.append(f"stream: {self.stream.fault}")
+        elif self.stream.chunks <= chunks:
+            result.faults.append("the stream stands still")
+
+    async def _pass_time(self) -> None:
+        await trio.sleep(STEP_S)
+
+    async def _kill_balancer(self) -> None:
+        await trio.sleep(1.0)
+        victim = self.plan.balancers[-1]
+        pid = self.launcher.kill(victim.name)
+        say(f"  killed {victim.name}, process {pid}")
+        await trio.sleep(FABRIC_NOTICE_S)
+        left = [f"{balancer.address}:{PACKET_PORT}" for balancer in self.plan.balancers[:-1]]
+        url = f"{self.plan.fabric_url}/balancers"
+        (await self.client.post(url, json={"balancers": left})).raise_for_status()
+        say("  the fabric leaves it out")
+        await trio.sleep(STEP_S)
+
+    async def _drain(self) -> None:
+        endpoint = self._find_endpoint(self.stream.backend)
+        await self.operator.drain(endpoint.name)
+        say(f"  {endpoint.name} drains")
+        await trio.sleep(SETTLE_S)
+        await self._expect_unchanged([endpoint], "opened", "new work at a leaving backend server")
+
+    async def _take_out(self, centre: str) -> None:
+        await self.operator.move_data_centre(centre, "out")
+        say(f"  {centre} is out")
+        await trio.sleep(SETTLE_S)
+        left = self._list_endpoints(centre)
+        await self._expect_unchanged(left, "received", f"packets into {centre}")
+        # What comes back has been replaced in the meantime, so it comes back cold.
+        for endpoint in left:
+            (await self.client.post(f"{endpoint.url}/restart")).raise_for_status()
+
+    async def _bring_back(self, centre: str) -> None:
+        endpoints = self._list_endpoints(centre)
+        before = await self._sum_counts(endpoints, "opened")
+        await self.operator.move_data_centre(centre, "in")
+        say(f"  {centre} is in")
+        started = trio.current_time()
+        with trio.move_on_after(RETURN_S):
+            while await self._sum_counts(endpoints, "opened") == before:
+                await trio.sleep(0.1)
+            say(f"  first work there after {trio.current_time() - started:.1f} s")
+            await trio.sleep(STEP_S)
+            return
+        self.results[-1].faults.append(f"no work in {centre} after {RETURN_S} s")
+
+    async def _expect_unchanged(self, endpoints: list[EndpointPlan], name: str, what: str) -> None:
+        before = await self._sum_counts(endpoints, name)
+        await trio.sleep(OBSERVE_S)
+        after = await self._sum_counts(endpoints, name)
+        if after != before:
+            self.results[-1].faults.append(f"{what}: {after - before} in {OBSERVE_S} s")
+
+    async def _sum_counts(self, endpoints: list[EndpointPlan], name: str) -> int:
+        total = 0
+        for endpoint in endpoints:
+            answer = (await self.client.get(f"{endpoint.url}/runs")).json()
+            total += int(answer["counts"][name])
+        return total
+
+    async def _check_proofs(self) -> None:
+        result = StepResult("no overload, no double run, no false refusal")
+        self.results.append(result)
+        refused = {failure.run_id for step in self.results for failure in step.tally.refused}
+        repeatable = self._list_repeatable_prefixes()
+        runs: dict[str, int] = {}
+        for endpoint in self.plan.endpoints:
+            answer = (await self.client.get(f"{endpoint.url}/runs")).json()
+            if answer["counts"]["overloads"]:
+                result.faults.append(f"{endpoint.name}: {answer['counts']['overloads']} overloads")
+            for run_id, count in answer["runs"].items():
+                runs[run_id] = runs.get(run_id, 0) + count
+        for run_id, count in runs.items():
+            if count > 1 and not run_id.startswith(repeatable):
+                result.faults.append(f"{run_id} ran {count} times")
+            if run_id in refused:
+                result.faults.append(f"{run_id} ran and was refused")
+        say(f"step {len(self.results)}: {result.name}")
+        say(f"  {len(runs)} recorded runs, {len(refused)} refusals")
+        show_faults(result)
+
+    def _list_repeatable_prefixes(self) -> tuple[str, ...]:
+        return tuple(
+            f"{service.name}-{service_class.name}-"
+            for service in self.plan.cfg.services
+            for service_class in service.classes
+            if service_class.repeatable
+        )
+
+    def _find_endpoint(self, name: str) -> EndpointPlan:
+        return next(endpoint for endpoint in self.plan.endpoints if endpoint.name == name)
+
+    def _list_endpoints(self, centre: str) -> list[EndpointPlan]:
+        return [endpoint for endpoint in self.plan.endpoints if endpoint.data_centre == centre]
+
+    def _choose_data_centre(self) -> str:
+        held = self._find_endpoint(self.stream.backend).data_centre
+        names = [centre.name for centre in self.plan.cfg.data_centres]
+        return next(name for name in reversed(names) if name != held)
+
+
+def find_stream_class(plan: DeploymentPlan) -> tuple[Service, ServiceClass]:
+    """Return the first class of streams with its service."""
+    return next(
+        (service, service_class)
+        for service in plan.cfg.services
+        for service_class in service.classes
+        if service_class.kind is FlowKind.STREAM
+    )
+
+
+def say(line: str) -> None:
+    """Print a line at once."""
+    typer.echo(line)
+
+
+def show(result: StepResult, stream: StreamWatch) -> None:
+    """Print what became of a step."""
+    tally = result.tally
+    for service in sorted({name for name, _ in tally.outcomes}):
+        counts = ", ".join(
+            f"{outcome.value} {tally.count(outcome, service)}" for outcome in Outcome
+        )
+        say(f"  {service}: {counts}")
+    say(f"  by {len(tally.backends)} backend servers, slowest {tally.slowest_s:.2f} s")
+    say(f"  stream at {stream.backend}: chunk {stream.chunks}, gap {stream.longest_gap_s:.2f} s")
+    for failure in (tally.wrong + tally.broken + tally.refused)[:SHOWN_FAILURES]:
+        say(f"    {failure.run_id}: {failure.result}")
+    show_faults(result)
+
+
+def show_faults(result: StepResult) -> None:
+    """Print whether a step held."""
+    for fault in result.faults:
+        say(f"  FAULT {fault}")
+    say("  held" if not result.faults else "  did not hold")
