Report a port that cannot be bound as an error of its own kind

Cause: the first run of the whole path ended in a traceback: a log field of the same name as one of the library's, and a port in use. Change: name the field 'instance'; raise SettingsError with the address and end with its exit code.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
@@ -98,7 +98,7 @@
         await self.control.start(nursery)
         nursery.start_soon(self._receive)
         nursery.start_soon(self._tick)
-        log.info("agent started", extra={"process": self.settings.name})
+        log.info("agent started")
 
     async def drain(self) -> None:
         """Take no new flow and wait for what is open, up to the operators' bound."""
@@ -132,7 +132,7 @@
         self.http.close()
         self.delivery.close()
         self.channel.close()
-        log.info("agent closed", extra={"process": self.settings.name})
+        log.info("agent closed")
 
     def is_ready(self) -> bool:
         """Tell whether the configuration and the service's table are known."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/balancer.py
@@ -64,11 +64,11 @@
         nursery.start_soon(self._receive_packets)
         nursery.start_soon(self._receive_messages)
         nursery.start_soon(self._tick)
-        log.info("balancer started", extra={"process": self.settings.name})
+        log.info("balancer started")
 
     async def drain(self) -> None:
         """Go on serving until the fabric has had time to leave this instance out."""
-        log.info("balancer drains", extra={"process": self.settings.name})
+        log.info("balancer drains")
         await trio.sleep(min(1.0, self.settings.drain_timeout_s))
 
     async def close(self) -> None:
@@ -79,7 +79,7 @@
         if self._packets is not None:
             self._packets.close()
             self._packets = None
-        log.info("balancer closed", extra={"process": self.settings.name})
+        log.info("balancer closed")
 
     def is_ready(self) -> bool:
         """Tell whether the configuration is known and current."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/cli.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/cli.py
@@ -14,7 +14,9 @@
 from fescueseam_daemon.balancer import BalancerDaemon
 from fescueseam_daemon.logs import configure_logs
 
-app = typer.Typer(help="Run the processes of fescueseam.", no_args_is_help=True)
+app = typer.Typer(
+    help="Run the processes of fescueseam.", no_args_is_help=True, pretty_exceptions_enable=False
+)
 
 BaseOption = Annotated[Path, typer.Option(help="Settings shared by all sites.", exists=True)]
 OverlayOption = Annotated[
@@ -46,10 +48,26 @@
             return
         configure_logs(settings.log_format, settings.name)
         daemon = AgentDaemon(settings) if role is Role.AGENT else BalancerDaemon(settings)
+        trio.run(run_daemon, daemon)
     except FescueseamError as exc:
-        typer.echo(str(exc), err=True)
-        raise typer.Exit(KINDS[exc.kind].exit_code) from exc
-    trio.run(run_daemon, daemon)
+        raise report_error(exc) from exc
+    except BaseExceptionGroup as group:
+        matched = group.subgroup(FescueseamError)
+        if matched is None:
+            raise
+        raise report_error(find_first(matched)) from group
+
+
+def report_error(exc: FescueseamError) -> typer.Exit:
+    """Print an error and return the exit that its kind asks for."""
+    typer.echo(str(exc), err=True)
+    return typer.Exit(KINDS[exc.kind].exit_code)
+
+
+def find_first(group: BaseExceptionGroup[FescueseamError]) -> FescueseamError:
+    """Return the first error in a group of groups."""
+    first = group.exceptions[0]
+    return find_first(first) if isinstance(first, BaseExceptionGroup) else first
 
 
 def load_settings(base: Path, overlays: list[Path], role: Role) -> ProcessSettings:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -61,14 +61,19 @@
         self._suspects: dict[str, VersionedValue] = {}
         self._missing: dict[str, float] = {}
         self._merged_at = float("-inf")
+        self._dirty = True
+        self._live: list[str] = []
+        self._ranks: dict[str, int] = {}
 
     # Parts of this balancer
 
     def find_rank(self, key: str) -> int:
         """Return how many live balancers come before this one for a key."""
-        live = self.list_live()
-        ranked = choose_keepers(key, [*live, self.settings.name], len(live) + 1)
-        return ranked.index(self.settings.name)
+        rank = self._ranks.get(key)
+        if rank is None:
+            ranked = choose_keepers(key, [*self._live, self.settings.name], len(self._live) + 1)
+            rank = self._ranks[key] = ranked.index(self.settings.name)
+        return rank
 
     def is_watcher(self) -> bool:
         """Tell whether this balancer should hold a watch of the store."""
@@ -80,14 +85,7 @@
 
     def list_live(self) -> list[str]:
         """Return the other balancers that are alive."""
-        own = self.settings.name
-        return [
-            name
-            for name, sighting in self.sightings.items()
-            if name != own
-            and sighting.facts.role is Role.BALANCER
-            and sighting.status is Status.ALIVE
-        ]
+        return self._live
 
     def describe_self(self) -> ProcessFacts:
         """Return the facts of this process."""
@@ -234,8 +232,22 @@
             known = self.sightings.get(name)
             if peer is not None and (known is None or known.status is not Status.ALIVE):
                 self.sightings[name] = Sighting(_to_facts(peer), Status.ALIVE, 1)
+        self._note_live()
         self.view.set_suspects(self._find_suspects(now))
 
+    def _note_live(self) -> None:
+        live = [
+            name
+            for name, sighting in self.sightings.items()
+            if name != self.settings.name
+            and sighting.facts.role is Role.BALANCER
+            and sighting.status is Status.ALIVE
+        ]
+        if set(live) != set(self._live):
+            # Ranks depend on who is alive and on nothing else.
+            self._ranks.clear()
+        self._live = live
+
     def _find_suspects(self, now: float) -> frozenset[str]:
         suspects = {
             name
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/directory.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/directory.py
@@ -64,7 +64,7 @@
         merged = self._merge(self._stored)
         if merged == self._stored:
             return None
-        return {"processes": [_converter.unstructure(merged[name]) for name in sorted(merged)]}
+        return [_converter.unstructure(merged[name]) for name in sorted(merged)]
 
     def on_written(self, now: float) -> None:
         """Take the news that the write has taken effect."""
@@ -100,7 +100,6 @@
 
 def _read_facts(stored: StoredObject) -> tuple[ProcessFacts, ...]:
     try:
-        items = stored.value["processes"]
-        return tuple(_converter.structure(item, ProcessFacts) for item in items)
+        return tuple(_converter.structure(item, ProcessFacts) for item in stored.value)
     except (BaseValidationError, TypeError, KeyError) as exc:
         raise StoreError(f"no directory: {stored.key}", ErrorKind.MALFORMED_MESSAGE) from exc
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -86,10 +86,10 @@
             "data_centre": settings.data_centre,
             "region": settings.region,
             "incarnation": self.node.incarnation,
-            "configuration_version": cfg.version,
+            "config_version": cfg.version,
             "is_current": self.is_current(),
             "hears_peers": self.hears_peers(time.monotonic()),
-            "epochs": {table.service: table.epoch for table in self.view.list_tables()},
+            "tables": {table.service: table.epoch for table in self.view.list_tables()},
             "suspects": sorted(self.view.suspects),
         }
 
@@ -199,14 +199,24 @@
 
     def describe_status(self) -> dict[str, object]:
         """Return the part of the status page on control."""
-        cfg_version = self.node.gossip.configuration.version
+        # The page is served on a thread of its own, so it copies before it looks.
         records = list(self.balancer.membership.records.values())
+        known = [sighting.facts for sighting in list(self.balancer.sightings.values())]
         return super().describe_status() | {
+            "peers": [
+                {
+                    "name": facts.name,
+                    "role": facts.role.value,
+                    "data_centre": facts.data_centre,
+                    "address": facts.address,
+                    "metrics_port": facts.metrics_port,
+                }
+                for facts in known
+            ],
             "announcing": {
                 record.facts.name: {
                     "status": record.status.value,
-                    "configuration_version": record.config_version,
-                    "lags": record.config_version < cfg_version,
+                    "config_version": record.config_version,
                 }
                 for record in records
             },
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/http.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/http.py
@@ -9,6 +9,8 @@
 
 from prometheus_client import CollectorRegistry, make_wsgi_app
 
+from fescueseam.exceptions import SettingsError
+
 StatusSource = Callable[[], dict[str, object]]
 ReadinessSource = Callable[[], bool]
 StartResponse = Callable[..., Any]
@@ -44,13 +46,17 @@
 
     def start(self) -> None:
         """Bind the port and begin to serve."""
-        self._server = make_server(
-            self._address,
-            self._port,
-            self._serve,
-            server_class=_Server,
-            handler_class=_QuietHandler,
-        )
+        try:
+            self._server = make_server(
+                self._address,
+                self._port,
+                self._serve,
+                server_class=_Server,
+                handler_class=_QuietHandler,
+            )
+        except OSError as exc:
+            where = f"{self._address}:{self._port}"
+            raise SettingsError(f"cannot bind TCP {where}: {exc.strerror}") from exc
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def close(self) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/logs.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/logs.py
@@ -9,11 +9,11 @@
 JSON_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def configure_logs(log_format: str, process: str) -> None:
+def configure_logs(log_format: str, instance: str) -> None:
     """Write one JSON object a line, or plain text, to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     if log_format == "json":
-        handler.setFormatter(JsonFormatter(JSON_FIELDS, static_fields={"process": process}))
+        handler.setFormatter(JsonFormatter(JSON_FIELDS, static_fields={"instance": instance}))
     else:
         handler.setFormatter(logging.Formatter(PLAIN_FORMAT))
     root = logging.getLogger()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/sockets.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/sockets.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from fescueseam.exceptions import SettingsError
+
 BUFFER_BYTES = 4 * 1024 * 1024
 BATCH_DATAGRAMS = 64
 RECEIVE_BYTES = 65535
@@ -17,7 +19,11 @@
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
-    sock.bind((address, port))
+    try:
+        sock.bind((address, port))
+    except OSError as exc:
+        sock.close()
+        raise SettingsError(f"cannot bind UDP {address}:{port}: {exc.strerror}") from exc
     return sock
 
 
