Let configurations travel by store and gossip in the world

Cause: the promise on accepted configurations needs the versions core under store outages. Change: a store model, a thin driver of the gossip core with its lease, and tables put off until majorities of recent epochs meet.

--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/control.py
@@ -0,0 +1,129 @@
+"""Spread the configuration by the gossip core and watch each process' lease."""
+
+import random
+from collections.abc import Sequence
+from functools import partial
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from fescueseam.conf.models import Configuration
+from fescueseam.messages.types import Body, GossipDigest, GossipKeys, GossipValues, Message
+from fescueseam.versions.gossip import Gossip
+from fescueseam.versions.values import VersionedMap
+
+from .life import Life
+from .network import CALLERS, Network
+from .store import Store
+
+if TYPE_CHECKING:
+    from .hosts import Host
+
+LEASE_S = 2.0
+"""Deliver nothing once no other process was heard for this time."""
+SYNC_INTERVAL_S = 0.4
+"""Send what a lagging peer lacks at most once in this time."""
+WRITER = "operators"
+OPERATOR_PUSHES = 2
+
+
+@define(eq=False)
+class Control:
+    """Keep the configuration of one process current through its peers."""
+
+    host: "Host"
+    gossip: Gossip
+    _synced: dict[str, float] = field(factory=dict)
+
+    def take_message(self, message: Message, now: float) -> bool:
+        """Take a message; return whether it was for the control plane alone."""
+        answers = self._dispatch(message.body)
+        for body in answers or ():
+            self._send(message.sender, body)
+        self._sync(message, now)
+        self._settle()
+        return answers is not None
+
+    def take_configuration(self, cfg: Configuration) -> None:
+        """Take a configuration from the store or from an operator."""
+        self.gossip.note_store_read()
+        self.gossip.put_configuration(cfg, WRITER)
+        self._settle()
+
+    def tick(self, now: float) -> None:
+        """Compare versions with a peer now and then, and keep the lease."""
+        peers = self.host.world.list_peers(self.host)
+        for outgoing in self.gossip.tick(now, peers):
+            self._send(outgoing.peer, outgoing.body)
+        self.host.view.leased = now - self.host.heard <= LEASE_S
+
+    def _dispatch(self, body: Body) -> list[Body] | None:
+        if isinstance(body, GossipDigest):
+            return self.gossip.on_digest(body)
+        if isinstance(body, GossipKeys):
+            return self.gossip.on_keys(body)
+        if isinstance(body, GossipValues):
+            return self.gossip.on_values(body)
+        return None
+
+    def _sync(self, message: Message, now: float) -> None:
+        mine = self.gossip.configuration.version
+        if message.config_version == mine or now < self._synced.get(message.sender, -1.0):
+            return
+        self._synced[message.sender] = now + SYNC_INTERVAL_S
+        if message.config_version > mine:
+            self._send(message.sender, self.gossip.digest())
+            return
+        newer: list[Body] = [*self.gossip.select_for(message.config_version)]
+        for body in newer or [self.gossip.digest()]:
+            self._send(message.sender, body)
+
+    def _settle(self) -> None:
+        self.gossip.changed = []
+        if self.host.view.set_configuration(self.gossip.configuration):
+            self.host.follow_configuration()
+        peers = self.host.world.list_peers(self.host)
+        hot = self.gossip.take_hot()
+        if not hot:
+            return
+        for outgoing in self.gossip.push(hot, peers):
+            self._send(outgoing.peer, outgoing.body)
+
+    def _send(self, peer: str, body: Body) -> None:
+        self.host.world.carry_control(self.host, peer, body, self.gossip.configuration.version)
+
+
+def make_control(host: "Host", cfg: Configuration, seed: int, now: float) -> Control:
+    """Make the control part of a process that starts with a configuration."""
+    gossip = Gossip(VersionedMap(), random.Random(f"{seed}/{host.name}/{now}"), now)
+    gossip.put_configuration(cfg, WRITER)
+    gossip.take_hot()
+    gossip.changed = []
+    return Control(host, gossip)
+
+
+def accept(store: Store, network: Network, entries: Sequence["Host"], cfg: Configuration) -> None:
+    """Accept a configuration as the operators' command does."""
+    if not store.write(cfg):
+        return
+    # The command hands what the store took to a few balancers itself.
+    living = [host for host in entries if host.life is not Life.DEAD]
+    for host in living[:OPERATOR_PUSHES]:
+        network.send(CALLERS, host.place, partial(give, host, cfg))
+
+
+def give(host: "Host", cfg: Configuration) -> None:
+    """Hand a configuration to a process from outside."""
+
+    def take() -> None:
+        if host.control is not None:
+            host.control.take_configuration(cfg)
+
+    host.receive(take)
+
+
+def read_store(store: Store, host: "Host") -> bool:
+    """Let a balancer read the store; return whether it still lives."""
+    if host.control is not None and host.life is Life.RUNNING:
+        store.read(host.place, lambda cfg: give(host, cfg))
+    return host.life is not Life.DEAD
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
@@ -1,7 +1,6 @@
 """Run one core on one instance: its buffer, its ticks, its local sockets."""
 
 from collections import Counter, deque
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -13,7 +12,9 @@
 from fescueseam.routing.view import View
 
 from .backend import Answer, AnswerKind, Backend
+from .control import Control
 from .cores import EntryCore, HomeCore
+from .life import Life
 from .network import Place
 from .payloads import CLOSING_NUMBER, read_stamp
 from .timeline import Action
@@ -29,14 +30,6 @@
 """Keep a closed local socket from reuse for this long, so that late answers die."""
 
 
-class Life(Enum):
-    """Tell whether a process runs."""
-
-    RUNNING = "running"
-    FROZEN = "frozen"
-    DEAD = "dead"
-
-
 @define(eq=False)
 class Host:
     """Hold what every process has: a place, a view and a buffer."""
@@ -48,6 +41,7 @@
     drops: Counter[str] = field(factory=Counter)
     heard: float = 0.0
     """Tell when a message of another process was last taken in."""
+    control: Control | None = None
     _buffer: deque[Action] = field(factory=deque)
 
     @property
@@ -83,9 +77,25 @@
     def run_tick(self) -> bool:
         """Advance the core's timers; return whether the process still lives."""
         if self.life is Life.RUNNING:
+            if self.control is not None:
+                self.control.tick(self.world.timeline.now)
             self.tick()
         return self.life is not Life.DEAD
 
+    def take_message(self, message: Message) -> None:
+        """Take a message of another process."""
+        now = self.world.timeline.now
+        self.heard = now
+        if self.control is None or not self.control.take_message(message, now):
+            self.apply(self.handle_message(message, now))
+
+    def handle_message(self, message: Message, now: float) -> Effects:
+        """Return what the core makes of a message."""
+        raise NotImplementedError
+
+    def follow_configuration(self) -> None:
+        """Follow a configuration that has come into force here."""
+
     def tick(self) -> None:
         """Advance the core's timers."""
 
@@ -117,10 +127,9 @@
         """Take a caller's packet from the fabric."""
         self.apply(self.core.handle_packet(raw, self.world.timeline.now))
 
-    def take_message(self, message: Message) -> None:
-        """Take a message of another process."""
-        self.heard = self.world.timeline.now
-        self.apply(self.core.handle_message(message, self.world.timeline.now))
+    def handle_message(self, message: Message, now: float) -> Effects:
+        """Return what the core makes of a message."""
+        return self.core.handle_message(message, now)
 
     def tick(self) -> None:
         """Advance the core's timers."""
@@ -148,15 +157,18 @@
     _resting: deque[LocalSocket] = field(factory=deque)
     _by_flow: dict[FlowKey, LocalSocket] = field(factory=dict)
 
-    def take_message(self, message: Message) -> None:
-        """Take a message of another process."""
-        self.heard = self.world.timeline.now
-        self.apply(self.core.handle_message(message, self.world.timeline.now))
+    def handle_message(self, message: Message, now: float) -> Effects:
+        """Return what the core makes of a message."""
+        return self.core.handle_message(message, now)
 
     def tick(self) -> None:
         """Advance the core's timers."""
         self.apply(self.core.tick(self.world.timeline.now))
 
+    def follow_configuration(self) -> None:
+        """Follow the drain rules of a configuration that has come into force here."""
+        self.core.update_draining(self.backend.draining)
+
     def apply_local(self, effect: Deliver | CloseFlow | Probe) -> None:
         """Deliver, close or probe."""
         if isinstance(effect, Deliver):
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
@@ -19,6 +19,9 @@
     data_centre: str = ""
 
 
+CALLERS = Place("callers")
+
+
 @frozen
 class Delays:
     """Hold one-way delays in seconds."""
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -5,37 +5,44 @@
 
 from attrs import define, evolve, field
 
+from fescueseam.claims.registry import PACKET_LIFETIME_S
 from fescueseam.conf.models import (
     AdmissionRules,
     Configuration,
     DataCentreState,
     EndpointRule,
     Service,
-    ServiceClass,
 )
 from fescueseam.effects import Deliver, Observe, Refuse, Send
 from fescueseam.flows.keys import FlowKey
+from fescueseam.messages.types import Body, Message
 from fescueseam.routing.table import Member, MemberState, Table
 from fescueseam.routing.view import View
+from fescueseam.upkeep.history import TableHistory
 
 from .backend import Answer, Backend
 from .callers import Callers
 from .calls import Call
+from .control import accept, make_control, read_store
 from .cores import MakeEntry, MakeHome, make_entry, make_home
 from .deployments import Deployment
-from .hosts import AgentHost, EntryHost, Host, Life
+from .hosts import AgentHost, EntryHost, Host
 from .journal import Delivery, Journal, Order, Refusal
-from .network import Network, Place
+from .life import Life
+from .network import CALLERS, Network, Place
 from .payloads import Stamp, read_stamp
+from .store import Store
 from .timeline import Timeline
+from .traffic import Arrivals
 
 TICK_S = 0.02
 REPORT_INTERVAL_S = 0.5
+STORE_INTERVAL_S = 0.5
+CHANGE_RETRY_S = 0.5
 CONTROL_PORT = 7000
 WARM_START = -1000.0
 WARM_TICKS = (-1.6, -0.8)
 """Tick warm agents at these times, so that their long past is not taken for a pause."""
-CALLERS = Place("callers")
 
 
 @define(eq=False)
@@ -51,10 +58,16 @@
     warm: bool = True
     """Start with backend servers and agents that are warm."""
     keep_observed: bool = False
+    gossips: bool = False
+    """Let configurations travel by the store and the gossip core, not directly."""
+    keeps_majorities: bool = False
+    """Put off a table whose majorities do not meet those of recent epochs."""
     timeline: Timeline = field(factory=Timeline)
     rng: random.Random = field(init=False)
     network: Network = field(init=False)
     callers: Callers = field(init=False)
+    store: Store = field(init=False)
+    history: TableHistory = field(init=False)
     calls: dict[int, Call] = field(factory=dict)
     journal: Journal = field(factory=Journal)
     entries: dict[str, EntryHost] = field(factory=dict)
@@ -75,6 +88,9 @@
         self.network = Network(self.timeline, random.Random(self.seed + 1), self.deployment.delays)
         self.callers = Callers(self)
         self.cfg = self.deployment.configuration
+        self.store = Store(self.timeline, self.network, random.Random(self.seed + 2))
+        self.store.write(self.cfg)
+        self.history = TableHistory(since=-PACKET_LIFETIME_S)
 
     def start(self) -> None:
         """Start every process, with the same table and configuration in all views."""
@@ -110,7 +126,9 @@
             core=self.make_entry(name, self._incarnations, view),
         )
         self.entries[name] = host
+        self._give_control(host)
         self.timeline.every(TICK_S, host.run_tick)
+        self.timeline.every(STORE_INTERVAL_S, lambda: read_store(self.store, host))
         return host
 
     def start_backend(self, name: str, service: str, speed: float = 1.0) -> Backend:
@@ -141,6 +159,7 @@
         )
         self.agents[member.name] = host
         self._directory[member.address] = host
+        self._give_control(host)
         if warm:
             warm_up_core(core, rules)
             for time in WARM_TICKS:
@@ -168,14 +187,18 @@
 
     def publish_configuration(self, cfg: Configuration, spread_s: float = 0.0) -> None:
         """Accept a configuration; each process has it in force after its own delay."""
-        self.cfg = evolve(cfg, version=self.cfg.version + 1)
-        accepted = self.cfg
+        self.cfg = accepted = evolve(cfg, version=self.cfg.version + 1)
+        if self.gossips:
+            accept(self.store, self.network, list(self.entries.values()), accepted)
+            return
         for host in self.list_hosts():
             self._give(host, lambda view: view.set_configuration(accepted), spread_s)
 
     def publish_table(self, table: Table, spread_s: float = 0.0) -> None:
         """Publish the next epoch of a table; each process has it after its own delay."""
         known = self.tables[table.service]
+        self.history.forget_before(self.timeline.now)
+        self.history.record(known, self.timeline.now)
         fresh = evolve(table, epoch=known.epoch + 1)
         self.tables[table.service] = fresh
         for host in self.list_hosts():
@@ -197,28 +220,55 @@
         self.note("drain" if drain else "undrain", name)
         self.publish_configuration(evolve(self.cfg, endpoints=tuple(rules)), spread_s)
 
+    def change_members(
+        self,
+        service: str,
+        change: Callable[[tuple[Member, ...]], tuple[Member, ...]],
+        spread_s: float = 0.0,
+    ) -> None:
+        """Publish a table with changed members, as soon as majorities allow it."""
+        table = self.tables[service]
+        planned = evolve(table, members=change(table.members))
+        self.history.forget_before(self.timeline.now)
+        if self.keeps_majorities and not self.history.allows(table, planned):
+            self.timeline.after(
+                CHANGE_RETRY_S, lambda: self.change_members(service, change, spread_s)
+            )
+            return
+        self.publish_table(planned, spread_s)
+
     def set_member_state(self, name: str, state: MemberState, spread_s: float = 0.0) -> None:
         """Change a member's state in the table of its service."""
-        table = self.find_table_of(name)
-        members = tuple(evolve(m, state=state) if m.name == name else m for m in table.members)
-        self.publish_table(evolve(table, members=members), spread_s)
+
+        def change(members: tuple[Member, ...]) -> tuple[Member, ...]:
+            return tuple(evolve(m, state=state) if m.name == name else m for m in members)
+
+        self.change_members(self.backends[name].service, change, spread_s)
 
     def add_server(
-        self, name: str, service: str, data_centre: str, speed: float = 1.0, spread_s: float = 0.0
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        speed: float = 1.0,
+        spread_s: float = 0.0,
+        address: str = "",
     ) -> AgentHost:
         """Start a new backend server with its agent and add it to the table."""
         member = self._make_member(name, data_centre)
+        member = evolve(member, address=address or member.address)
         self.start_backend(name, service, speed)
         host = self.start_agent(member, service)
-        table = self.tables[service]
-        self.publish_table(evolve(table, members=(*table.members, member)), spread_s)
+        self.change_members(service, lambda members: (*members, member), spread_s)
         return host
 
     def remove_server(self, name: str, spread_s: float = 0.0) -> None:
         """Remove a member from the table of its service."""
-        table = self.find_table_of(name)
-        members = tuple(member for member in table.members if member.name != name)
-        self.publish_table(evolve(table, members=members), spread_s)
+        self.change_members(
+            self.backends[name].service,
+            lambda members: tuple(member for member in members if member.name != name),
+            spread_s,
+        )
 
     def set_suspects(self, names: frozenset[str], spread_s: float = 0.0) -> None:
         """Let every process suspect these members and no others."""
@@ -237,10 +287,12 @@
         self, service: str, class_name: str, rate: float, mean_s: float, start: float, end: float
     ) -> None:
         """Let callers open calls at random times with exponential sizes."""
-        rng = random.Random(f"{self.seed}/{service}/{class_name}/{start}")
         found = self.find_service(service)
         service_class = next(item for item in found.classes if item.name == class_name)
-        self._schedule_next(found, service_class, rng, rate, mean_s, start, end)
+        rng = random.Random(f"{self.seed}/{service}/{class_name}/{start}")
+        Arrivals(self.callers, self.timeline, found, service_class, rng, rate, mean_s, end).begin(
+            start
+        )
 
     def spray(self, raw: bytes) -> None:
         """Hand a caller's packet to any living balancer, as the fabric does."""
@@ -266,6 +318,16 @@
         self.journal.messages[type(message.body).__name__] += 1
         self.network.send(source, host.place, lambda: self._take(host, effect))
 
+    def carry_control(self, source: Host, target: str, body: Body, version: int) -> None:
+        """Carry a control message to the newest process of a name."""
+        host = self.entries.get(target) or self.agents.get(target)
+        if host is None:
+            return
+        message = Message(source.name, 0, body, target=target, config_version=version)
+        self.network.send(
+            source.place, host.place, lambda: host.receive(lambda: host.take_message(message))
+        )
+
     def carry_answer(self, source: Place, flow: FlowKey, answer: Answer) -> None:
         """Carry an answer to its caller, past the balancers."""
         self.network.send(source, CALLERS, lambda: self.callers.take_answer(flow, answer))
@@ -317,19 +379,15 @@
         """Return a service of the configuration."""
         return next(item for item in self.cfg.services if item.name == name)
 
-    def find_table_of(self, member: str) -> Table:
-        """Return the table that lists a member."""
-        return next(
-            table
-            for table in self.tables.values()
-            if any(item.name == member for item in table.members)
-        )
-
     def list_hosts(self) -> list[Host]:
         """Return every process that is not dead."""
         hosts: list[Host] = [*self.entries.values(), *self.agents.values()]
         return [host for host in hosts if host.life is not Life.DEAD]
 
+    def list_peers(self, host: Host) -> list[str]:
+        """Return the names of all other processes."""
+        return [name for name in (*self.entries, *self.agents) if name != host.name]
+
     def find_host(self, name: str) -> Host:
         """Return the newest process of a name."""
         return self.entries[name] if name in self.entries else self.agents[name]
@@ -341,8 +399,7 @@
     # Helpers
 
     def _take(self, host: Host, effect: Send) -> None:
-        if isinstance(host, (AgentHost, EntryHost)):
-            host.receive(lambda: host.take_message(effect.message))
+        host.receive(lambda: host.take_message(effect.message))
 
     def _give(self, host: Host, change: Callable[[View], object], spread_s: float) -> None:
         def take() -> None:
@@ -353,6 +410,11 @@
         delay_s = self.rng.random() * spread_s
         self.timeline.after(delay_s, lambda: host.receive(take))
 
+    def _give_control(self, host: Host) -> None:
+        if self.gossips:
+            host.heard = self.timeline.now
+            host.control = make_control(host, host.view.cfg, self.seed, self.timeline.now)
+
     def _poll(self, host: AgentHost) -> bool:
         if host.life is Life.RUNNING:
             host.probe()
@@ -372,27 +434,6 @@
         address = f"10.60.{number // 250}.{number % 250 + 1}"
         return Member(name, data_centre, address, CONTROL_PORT, self._incarnations)
 
-    def _schedule_next(
-        self,
-        service: Service,
-        service_class: ServiceClass,
-        rng: random.Random,
-        rate: float,
-        mean_s: float,
-        time: float,
-        end: float,
-    ) -> None:
-        time += rng.expovariate(rate)
-        if time >= end:
-            return
-        size_s = rng.expovariate(1 / mean_s)
-
-        def arrive() -> None:
-            self.callers.open(service, service_class, size_s)
-            self._schedule_next(service, service_class, rng, rate, mean_s, time, end)
-
-        self.timeline.at(time, arrive)
-
 
 def warm_up_core(core: object, rules: AdmissionRules) -> None:
     """Lift the bounds of a core that has a gate to their full values."""
