Seal a message once, outside it, and keep the paths of balancers

Cause: the balancer's whole path cost 20 times a bare relay: two nested Cap'n Proto messages were built for each packet, the packet was parsed into objects, and five more objects carried it. Change: the seal (tag, sequence, key, version, length: 32 bytes) stands before the message, so a datagram is authenticated before Cap'n Proto reads any of it, and the encoded message of a path is shared by all its packets; the balancer reads the flow key straight from the headers and finds a kept path. handle_packet stays; find_path and encode_packet are the same path without the objects. The heartbeat in the answer to an announcement comes along because it is in the same files.

--- a/packages/fescueseam/src/fescueseam/messages/codec.py
+++ b/packages/fescueseam/src/fescueseam/messages/codec.py
@@ -1,92 +1,29 @@
 """Encode and decode messages between processes as sealed Cap'n Proto datagrams."""
 
-import hashlib
-import hmac
-from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from pathlib import Path
 from typing import Any
 
 import capnp
-from attrs import field, frozen
 
-from fescueseam.conf.models import KeySettings
-from fescueseam.exceptions import ErrorKind, MessageError
+from fescueseam.exceptions import MessageError
 from fescueseam.flows.keys import FlowKey
 from fescueseam.messages import types
+from fescueseam.messages.seal import DATAGRAM_LIMIT_BYTES as DATAGRAM_LIMIT_BYTES
+from fescueseam.messages.seal import Keyring as Keyring
+from fescueseam.messages.seal import Opened, build_envelope, open_datagram, seal
+from fescueseam.messages.seal import build_keyring as build_keyring
 
-PROTOCOL_VERSION = 1
-DATAGRAM_LIMIT_BYTES = 9000
-TAG_BYTES = 16
-WORD_BYTES = 8
 ADDRESS_LENGTHS_BYTES = (4, 16)
 TRAVERSAL_LIMIT_WORDS = 1 << 16
-HEADERS_LIMIT = 512
-"""Bound the headers of carries that are kept."""
+ENVELOPES_LIMIT = 512
+"""Bound the envelopes of carries that are kept, because building one costs most of a carry."""
 _PACKET_BODIES = (types.Carry, types.Place)
 
 capnp.remove_import_hook()
 _schema: Any = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
 
-@frozen
-class Keyring:
-    """Hold the shared keys by number; the first one given signs."""
-
-    signing_id: int
-    secrets: dict[int, bytes]
-    _headers: OrderedDict[tuple[object, ...], Any] = field(
-        factory=OrderedDict, init=False, eq=False, repr=False
-    )
-    """Keep the builders of headers that recur, because building one costs most of a carry."""
-    _states: dict[int, Any] = field(init=False, eq=False, repr=False)
-
-    @_states.default
-    def _key_states(self) -> dict[int, Any]:
-        return {
-            key_id: hashlib.blake2b(key=key, digest_size=TAG_BYTES)
-            for key_id, key in self.secrets.items()
-        }
-
-    def compute_tag(self, key_id: int, sealed: bytes) -> bytes:
-        """Return the authentication tag by one of the keys."""
-        state = self._states[key_id].copy()
-        state.update(sealed)
-        return bytes(state.digest())
-
-    def find_header(self, message: types.Message, body: types.Carry) -> Any:
-        """Return the builder of a carry's header; only sequence and size are left to set."""
-        key = (
-            message.target,
-            message.class_name,
-            message.service,
-            message.epoch,
-            message.config_version,
-            message.sender,
-            message.incarnation,
-            body.homed,
-        )
-        header = self._headers.get(key)
-        if header is None:
-            header = self._headers[key] = _build(message, self)
-            if len(self._headers) > HEADERS_LIMIT:
-                self._headers.popitem(last=False)
-        header.clear_write_flag()
-        return header
-
-
-def build_keyring(keys: tuple[KeySettings, ...]) -> Keyring:
-    """Return the keyring of the settings; raise MessageError if there is no key."""
-    if not keys:
-        raise MessageError("no key is configured", ErrorKind.INVALID_SETTINGS)
-    return Keyring(keys[0].key_id, {key.key_id: derive_key(key.secret) for key in keys})
-
-
-def derive_key(secret: str) -> bytes:
-    """Return the key bytes of a secret text."""
-    return hashlib.blake2b(secret.encode(), digest_size=32, person=b"fescueseam").digest()
-
-
 def encode_message(message: types.Message, keyring: Keyring, sequence: int | None = None) -> bytes:
     """Return the sealed datagram of a message; raise MessageError if it is too large.
 
@@ -94,34 +31,55 @@
     """
     body = message.body
     packet = body.packet if isinstance(body, _PACKET_BODIES) else b""
+    number = message.sequence if sequence is None else sequence
     if isinstance(body, types.Carry):
-        raw = keyring.find_header(message, body)
-    else:
-        raw = _build(message, keyring)
-    raw.sequence = message.sequence if sequence is None else sequence
-    raw.packetBytes = len(packet)
-    sealed: bytes = raw.to_bytes() + packet
-    if TAG_BYTES + len(sealed) > DATAGRAM_LIMIT_BYTES:
-        raise MessageError(f"{len(sealed)} bytes", ErrorKind.OVERSIZE_DATAGRAM)
-    return keyring.compute_tag(keyring.signing_id, sealed) + sealed
+        return seal(_find_envelope(message, body.homed, keyring), packet, number, keyring)
+    return seal(_build_envelope(message, keyring), packet, number, keyring)
+
+
+def encode_packet(path: types.Path, packet: bytes, sequence: int, keyring: Keyring) -> bytes:
+    """Return the sealed datagram that carries a packet along a path."""
+    envelope = keyring.envelopes.get(path)
+    if envelope is None:
+        envelope = _keep_envelope(path, path.message, keyring)
+    return seal(envelope, packet, sequence, keyring)
 
 
 def decode_message(datagram: bytes, keyring: Keyring) -> types.Message:
     """Return the message of a datagram; raise MessageError on anything else."""
-    if len(datagram) > DATAGRAM_LIMIT_BYTES:
-        raise MessageError(f"{len(datagram)} bytes", ErrorKind.OVERSIZE_DATAGRAM)
+    opened = open_datagram(datagram, keyring)
     try:
-        return _open(datagram[:TAG_BYTES], datagram[TAG_BYTES:], keyring)
+        return _read_message(opened)
     except MessageError:
         raise
     except Exception as exc:  # the codec raises several unrelated classes on garbage
         raise MessageError(str(exc).partition("\n")[0]) from exc
 
 
-def _build(message: types.Message, keyring: Keyring) -> Any:
+def _find_envelope(message: types.Message, homed: bool, keyring: Keyring) -> bytes:
+    key = (
+        message.target,
+        message.class_name,
+        message.service,
+        message.epoch,
+        message.config_version,
+        message.sender,
+        message.incarnation,
+        homed,
+    )
+    envelope = keyring.envelopes.get(key)
+    return _keep_envelope(key, message, keyring) if envelope is None else envelope
+
+
+def _keep_envelope(key: Hashable, message: types.Message, keyring: Keyring) -> bytes:
+    envelope = keyring.envelopes[key] = _build_envelope(message, keyring)
+    if len(keyring.envelopes) > ENVELOPES_LIMIT:
+        keyring.envelopes.popitem(last=False)
+    return envelope
+
+
+def _build_envelope(message: types.Message, keyring: Keyring) -> bytes:
     raw = _schema.Message.new_message(
-        protocolVersion=PROTOCOL_VERSION,
-        keyId=keyring.signing_id,
         sender=message.sender,
         incarnation=message.incarnation,
         target=message.target,
@@ -131,37 +89,25 @@
         configVersion=message.config_version,
     )
     _WRITERS[type(message.body)](raw.body, message.body)
-    return raw
-
-
-def _open(tag: bytes, sealed: bytes, keyring: Keyring) -> types.Message:
-    # The reader wants whole words; the bytes beyond them can only be the packet's.
-    words = sealed[: len(sealed) // WORD_BYTES * WORD_BYTES]
-    with _schema.Message.from_bytes(words, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS) as raw:
-        if raw.protocolVersion != PROTOCOL_VERSION:
-            raise MessageError(str(raw.protocolVersion), ErrorKind.WRONG_PROTOCOL_VERSION)
-        key_id = raw.keyId
-        if key_id not in keyring.secrets:
-            raise MessageError(f"key {key_id}", ErrorKind.BAD_AUTHENTICATION)
-        if not hmac.compare_digest(keyring.compute_tag(key_id, sealed), tag):
-            raise MessageError("tag", ErrorKind.BAD_AUTHENTICATION)
-        return _read_message(raw, sealed)
-
-
-def _read_message(raw: Any, sealed: bytes) -> types.Message:
-    which = str(raw.body.which())
-    packet = sealed[len(sealed) - raw.packetBytes :]
-    return types.Message(
-        sender=raw.sender,
-        incarnation=raw.incarnation,
-        sequence=raw.sequence,
-        target=raw.target,
-        service=raw.service,
-        class_name=raw.className,
-        epoch=raw.epoch,
-        config_version=raw.configVersion,
-        body=_READERS[which](getattr(raw.body, which), packet),
-    )
+    return build_envelope(raw.to_bytes(), keyring)
+
+
+def _read_message(opened: Opened) -> types.Message:
+    with _schema.Message.from_bytes(
+        opened.message, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+    ) as raw:
+        which = str(raw.body.which())
+        return types.Message(
+            sender=raw.sender,
+            incarnation=raw.incarnation,
+            sequence=opened.sequence,
+            target=raw.target,
+            service=raw.service,
+            class_name=raw.className,
+            epoch=raw.epoch,
+            config_version=raw.configVersion,
+            body=_READERS[which](getattr(raw.body, which), opened.packet),
+        )
 
 
 def _write_flow(raw: Any, flow: FlowKey) -> None:
@@ -217,7 +163,9 @@
 
 
 def _write_release(raw: Any, body: types.Release) -> None:
-    _write_flow(raw.init("release"), body.flow)
+    release = raw.init("release")
+    _write_flow(release.flow, body.flow)
+    release.claim = body.claim
 
 
 def _write_ask(raw: Any, body: types.Ask) -> None:
@@ -231,6 +179,7 @@
     _write_flow(answer.flow, body.flow)
     answer.holds = body.holds
     answer.granted = body.granted
+    answer.claim = body.claim
 
 
 def _write_free(raw: Any, body: types.Free) -> None:
@@ -269,7 +218,9 @@
 
 
 def _write_announce_answer(raw: Any, body: types.AnnounceAnswer) -> None:
-    peers = raw.init("announceAnswer").init("peers", len(body.peers))
+    answer = raw.init("announceAnswer")
+    answer.heartbeat = body.heartbeat
+    peers = answer.init("peers", len(body.peers))
     for slot, peer in zip(peers, body.peers, strict=True):
         slot.name = peer.name
         slot.role = peer.role
@@ -293,7 +244,8 @@
                 peer.incarnation,
             )
             for peer in raw.peers
-        )
+        ),
+        raw.heartbeat,
     )
 
 
@@ -370,8 +322,10 @@
     "full": lambda raw, _: types.Full(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
     "notHere": lambda raw, _: types.NotHere(_read_flow(raw.flow), bytes(raw.packet)),
     "ask": lambda raw, _: types.Ask(_read_flow(raw.flow), raw.claim),
-    "askAnswer": lambda raw, _: types.AskAnswer(_read_flow(raw.flow), raw.holds, raw.granted),
-    "release": lambda raw, _: types.Release(_read_flow(raw)),
+    "askAnswer": lambda raw, _: types.AskAnswer(
+        _read_flow(raw.flow), raw.holds, raw.granted, raw.claim
+    ),
+    "release": lambda raw, _: types.Release(_read_flow(raw.flow), raw.claim),
     "free": lambda raw, _: types.Free(_read_load(raw)),
     "announce": lambda raw, _: _read_announce(raw),
     "announceAnswer": lambda raw, _: _read_announce_answer(raw),
--- a/packages/fescueseam/src/fescueseam/messages/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/messages/schema.capnp
@@ -1,34 +1,31 @@
 @0xb7f3c1d2e4a59680;
-# Messages between the processes of fescueseam. A datagram is an authentication tag over all that
-# follows it, one Message, and the caller's packet of a Carry or Place.
+# Messages between the processes of fescueseam. A datagram is a seal of 32 bytes (tag over all that
+# follows it, sequence, key number, protocol version, length of the message; little-endian), one
+# Message, and the caller's packet of a Carry or Place.
 
 struct Message {
-  protocolVersion @0 :UInt16;
-  keyId @1 :UInt32;
-  packetBytes @2 :UInt32;
-  sequence @3 :UInt64;
-  sender @4 :Text;
-  incarnation @5 :UInt64;
-  target @6 :Text;
-  service @7 :Text;
-  className @8 :Text;
-  epoch @9 :UInt64;
-  configVersion @10 :UInt64;
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  target @2 :Text;
+  service @3 :Text;
+  className @4 :Text;
+  epoch @5 :UInt64;
+  configVersion @6 :UInt64;
   body :union {
-    carry @11 :Carry;
-    place @12 :Place;
-    placed @13 :Placed;
-    full @14 :Full;
-    notHere @15 :NotHere;
-    ask @16 :Ask;
-    askAnswer @17 :AskAnswer;
-    release @18 :Flow;
-    free @19 :Load;
-    announce @20 :Announce;
-    announceAnswer @21 :AnnounceAnswer;
-    gossipDigest @22 :GossipDigest;
-    gossipValues @23 :GossipValues;
-    gossipKeys @24 :GossipKeys;
+    carry @7 :Carry;
+    place @8 :Place;
+    placed @9 :Placed;
+    full @10 :Full;
+    notHere @11 :NotHere;
+    ask @12 :Ask;
+    askAnswer @13 :AskAnswer;
+    release @14 :Release;
+    free @15 :Load;
+    announce @16 :Announce;
+    announceAnswer @17 :AnnounceAnswer;
+    gossipDigest @18 :GossipDigest;
+    gossipValues @19 :GossipValues;
+    gossipKeys @20 :GossipKeys;
   }
 }
 
@@ -75,13 +72,19 @@
 
 struct Ask {
   flow @0 :Flow;
-  claim @1 :Bool;
+  claim @1 :UInt64;
+}
+
+struct Release {
+  flow @0 :Flow;
+  claim @1 :UInt64;
 }
 
 struct AskAnswer {
   flow @0 :Flow;
   holds @1 :Bool;
   granted @2 :Bool;
+  claim @3 :UInt64;
 }
 
 struct Announce {
@@ -100,6 +103,7 @@
 
 struct AnnounceAnswer {
   peers @0 :List(Peer);
+  heartbeat @1 :UInt64;
 }
 
 struct Peer {
--- a/packages/fescueseam/src/fescueseam/messages/types.py
+++ b/packages/fescueseam/src/fescueseam/messages/types.py
@@ -65,7 +65,8 @@
     """Ask a member whether it holds a flow, and for the right to place it."""
 
     flow: FlowKey
-    claim: bool = False
+    claim: int = 0
+    """Number the recorder's claim; zero asks for no right."""
 
 
 @frozen
@@ -75,6 +76,8 @@
     flow: FlowKey
     holds: bool = False
     granted: bool = False
+    claim: int = 0
+    """Repeat the number of the claim that is answered."""
 
 
 @frozen
@@ -82,6 +85,7 @@
     """Give back the right to place a flow that was not delivered."""
 
     flow: FlowKey
+    claim: int = 0
 
 
 @frozen
@@ -126,6 +130,8 @@
     """Answer an announcement with peers worth knowing."""
 
     peers: tuple[Peer, ...] = ()
+    heartbeat: int = 0
+    """Repeat the heartbeat that is answered, so that the lease runs from its sending."""
 
 
 @frozen
@@ -206,3 +212,13 @@
     class_name: str = ""
     epoch: int = 0
     config_version: int = 0
+
+
+@frozen(eq=False)
+class Path:
+    """Hold where the packets of one bucket and class go, and the message that carries them."""
+
+    address: str
+    port: int
+    message: Message
+    """Hold a carry without its packet."""
--- a/packages/fescueseam/src/fescueseam/packets/adapter.py
+++ b/packages/fescueseam/src/fescueseam/packets/adapter.py
@@ -19,13 +19,14 @@
 _PSEUDO_IPV4 = struct.Struct(">4s4sxBH")
 _PSEUDO_IPV6 = struct.Struct(">16s16sIxxxB")
 
-_IPV4_CHECKS = struct.Struct(">BxHxxHxB")
-"""Read only what tells a usable IPv4 header: first byte, length, fragment, protocol."""
-_IPV6_CHECKS = struct.Struct(">4xHB")
-_PORT_CHECKS = struct.Struct(">4xH")
-_IPV4_ADDRESSES = slice(12, 20)
-_IPV6_ADDRESSES = slice(8, 40)
-_TCP_OFFSET_BYTE = 12
+_PLAIN_UDP = struct.Struct(">2xHxxHxB14xH")
+"""Read lengths, fragment and protocol of UDP in IPv4 without options, as nearly all packets are."""
+_PLAIN_FIRST_BYTE = 0x45
+_PROTOCOL = slice(9, 10)
+_ADDRESSES = slice(12, 20)
+_PORTS = slice(20, 24)
+_KEY_PORT = slice(3, 5)
+_KEY_ADDRESSES = 5
 
 IPV4_ADDRESS_BYTES = 4
 PORT_BYTES = 2
@@ -68,16 +69,6 @@
     tcp_flags: int = 0
 
 
-@frozen
-class FlowHeader:
-    """Hold the bytes that tell a packet's flow, as they stand in its headers."""
-
-    key: bytes
-    """Equal the packed key of the flow."""
-    endpoint: bytes
-    """Hold the destination's address and port."""
-
-
 def decapsulate(datagram: bytes) -> bytes:
     """Return the inner packet of a GUE variant 1 datagram, which has no header of its own."""
     return _check_version(datagram)
@@ -104,42 +95,25 @@
     raise PacketError(f"transport protocol {protocol}", ErrorKind.UNSUPPORTED_PACKET)
 
 
-def read_flow_header(raw: bytes) -> FlowHeader:
-    """Return the flow of a packet; accept exactly what parse_packet accepts, at less cost."""
+def read_flow_key(raw: bytes) -> bytes:
+    """Return the packed key of a packet's flow; accept exactly what parse_packet accepts."""
     size = len(raw)
-    version = raw[0] >> 4 if raw else 0
-    if version == 4 and size >= _IPV4.size:
-        first, total, fragment, protocol = _IPV4_CHECKS.unpack_from(raw)
-        offset = (first & 0xF) << 2
-        addresses = raw[_IPV4_ADDRESSES]
-        usable = total == size and _IPV4.size <= offset and not fragment & _FRAGMENT_MASK
-    elif version == 6 and size >= _IPV6.size:
-        length, protocol = _IPV6_CHECKS.unpack_from(raw)
-        offset = _IPV6.size
-        addresses = raw[_IPV6_ADDRESSES]
-        usable = offset + length == size
-    else:
-        usable = False
-    if not usable or not _has_transport(raw, protocol, offset):
-        parse_packet(raw)
-        raise PacketError("headers do not match")
-    ports = raw[offset : offset + 2 * PORT_BYTES]
-    key = b"%c%b%b" % (protocol, ports, addresses)
-    return FlowHeader(key, addresses[len(addresses) >> 1 :] + ports[PORT_BYTES:])
+    if size >= _PLAIN_UDP.size and raw[0] == _PLAIN_FIRST_BYTE:
+        total, fragment, protocol, length = _PLAIN_UDP.unpack_from(raw)
+        whole = total == size and _UDP.size <= length <= size - _IPV4.size
+        if whole and protocol == PROTOCOL_UDP and not fragment & _FRAGMENT_MASK:
+            return raw[_PROTOCOL] + raw[_PORTS] + raw[_ADDRESSES]
+    return parse_packet(raw).flow.packed()
 
 
-def split_endpoint(endpoint: bytes) -> tuple[bytes, int]:
-    """Return the address and the port of a flow header's endpoint."""
-    return endpoint[:-PORT_BYTES], int.from_bytes(endpoint[-PORT_BYTES:], "big")
+def read_endpoint(key: bytes) -> bytes:
+    """Return the destination's port and address, as they stand in a packed key."""
+    return key[_KEY_PORT] + key[(len(key) + _KEY_ADDRESSES) >> 1 :]
 
 
-def _has_transport(raw: bytes, protocol: int, offset: int) -> bool:
-    room = len(raw) - offset
-    if protocol == PROTOCOL_UDP:
-        return room >= _UDP.size and _UDP.size <= _PORT_CHECKS.unpack_from(raw, offset)[0] <= room
-    if protocol == PROTOCOL_TCP and room >= _TCP.size:
-        return _TCP.size <= raw[offset + _TCP_OFFSET_BYTE] >> 4 << 2 <= room
-    return False
+def split_endpoint(endpoint: bytes) -> tuple[bytes, int]:
+    """Return the address and the port of an endpoint."""
+    return endpoint[PORT_BYTES:], int.from_bytes(endpoint[:PORT_BYTES], "big")
 
 
 def find_phase(packet: Packet, transport: Transport) -> Phase:
