Offer the operators' command over the store's HTTP interface

init, check, diff, apply, drain, data-centre, status, settings show, explain and watch. Changes go by one conditional update; a lost reply is resolved by the writer's id, which the object keeps for its last 16 versions, so that later changes by others do not hide it. A stale read is told from a lost write by the object's version. A race names both changes and writes nothing.

--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/change_commands.py
@@ -0,0 +1,185 @@
+"""Offer the commands that change the accepted configuration."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from fescueseam.conf.accepted import keep_operational_state, set_data_centre_state, set_drain
+from fescueseam.conf.differences import find_differences
+from fescueseam.conf.loading import LoadedConfiguration
+from fescueseam.conf.models import Configuration, DataCentreState
+from fescueseam.conf.structuring import suggest
+from fescueseam.exceptions import SettingsError
+from fescueseam.upkeep.documents import TABLES_PREFIX, decode_table
+from fescueseam.upkeep.store import Store
+
+from .changes import Change, ChangeResult, read_current
+from .files import read_deployment
+from .options import (
+    DEFAULT_TIMEOUT_S,
+    FolderArgument,
+    OutputOption,
+    Session,
+    StoreOption,
+    TimeoutOption,
+    run_async,
+    start_session,
+)
+from .output import OutputFormat, describe_differences, describe_fault
+
+ExpectOption = Annotated[
+    int | None,
+    typer.Option("--expect-version", help="Refuse unless this version is in force."),
+]
+
+
+def diff(
+    ctx: typer.Context,
+    folder: FolderArgument,
+    store: StoreOption = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show what applying a deployment's files would change."""
+    run_async(start_session(ctx, output, store, timeout_s), _diff, folder)
+
+
+def apply(
+    ctx: typer.Context,
+    folder: FolderArgument,
+    expect_version: ExpectOption = None,
+    store: StoreOption = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Check a deployment's files and put them in force."""
+    run_async(start_session(ctx, output, store, timeout_s), _apply, folder, expect_version)
+
+
+def drain(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Name of the backend server.")],
+    undo: Annotated[bool, typer.Option("--undo", help="Let it take new work again.")] = False,
+    force: Annotated[bool, typer.Option("--force", help="Accept a name nobody has yet.")] = False,
+    store: StoreOption = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Give a backend server no new work; open work goes on."""
+    run_async(start_session(ctx, output, store, timeout_s), _drain, name, undo, force)
+
+
+def take_out(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Name of the data centre.")],
+    store: StoreOption = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Take a data centre out of service; flows that end there are given up."""
+    session = start_session(ctx, output, store, timeout_s)
+    run_async(session, _set_state, name, DataCentreState.OUT)
+
+
+def bring_in(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Name of the data centre.")],
+    store: StoreOption = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Bring a data centre back into service."""
+    session = start_session(ctx, output, store, timeout_s)
+    run_async(session, _set_state, name, DataCentreState.IN)
+
+
+async def _diff(session: Session, folder: Path) -> None:
+    loaded = read_deployment(folder)
+    loaded.require()
+    async with session.open_store() as store:
+        current = (await read_current(store)).configuration
+    differences = find_differences(current, _make_change(loaded)(current))
+    printer = session.printer
+    if printer.is_json:
+        plain = describe_differences(differences)
+        printer.print_json({"version": current.version, "differences": plain})
+        return
+    printer.print_lines([f"version in force: {current.version}", *differences])
+    if not differences:
+        printer.print_lines(["no differences"])
+    printer.print_lines(f"kept: {line}" for line in _list_kept(loaded, current))
+
+
+async def _apply(session: Session, folder: Path, expect_version: int | None) -> None:
+    loaded = read_deployment(folder)
+    loaded.require()
+    kept: list[str] = []
+    make = _make_change(loaded)
+
+    def change(current: Configuration) -> Configuration:
+        kept[:] = _list_kept(loaded, current)
+        return make(current)
+
+    async with session.open_changer() as changer:
+        result = await changer.change(change, expect_version)
+    print_result(session, result, kept)
+
+
+async def _drain(session: Session, name: str, undo: bool, force: bool) -> None:
+    async with session.open_store() as store:
+        if not undo and not force:
+            await _require_known(store, name)
+        changer = session.environment.make_changer(store)
+        result = await changer.change(lambda cfg: set_drain(cfg, name, not undo))
+    print_result(session, result)
+
+
+async def _set_state(session: Session, name: str, state: DataCentreState) -> None:
+    async with session.open_changer() as changer:
+        result = await changer.change(lambda cfg: set_data_centre_state(cfg, name, state))
+    print_result(session, result)
+
+
+def print_result(session: Session, result: ChangeResult, kept: list[str] | None = None) -> None:
+    """Print what a change did."""
+    printer = session.printer
+    if printer.is_json:
+        printer.print_json(
+            {
+                "version": result.version,
+                "changed": bool(result.differences),
+                "differences": describe_differences(result.differences),
+                "kept": kept or [],
+                "warnings": [describe_fault(fault) for fault in result.faults],
+            }
+        )
+        return
+    verb = "accepted" if result.differences else "nothing to change; in force:"
+    printer.print_lines([f"{verb} version {result.version}", *result.differences])
+    printer.print_lines(f"kept: {line}" for line in kept or [])
+    printer.print_lines(f"warning: {fault}" for fault in result.faults)
+
+
+async def _require_known(store: Store, name: str) -> None:
+    objects = await store.list_objects(TABLES_PREFIX)
+    names = [member.name for stored in objects for member in decode_table(stored.value).members]
+    if name not in names:
+        hint = suggest(name, names) if names else "no backend server has announced itself"
+        raise SettingsError(f"no backend server is named {name!r} ({hint}); --force accepts it")
+
+
+def _make_change(loaded: LoadedConfiguration) -> Change:
+    cfg = loaded.require()
+    stated = _list_stated(loaded)
+    return lambda current: keep_operational_state(current, cfg, stated)
+
+
+def _list_stated(loaded: LoadedConfiguration) -> frozenset[str]:
+    return frozenset(loaded.base.origins)
+
+
+def _list_kept(loaded: LoadedConfiguration, current: Configuration) -> list[str]:
+    from_files = loaded.require()
+    kept = keep_operational_state(current, from_files, _list_stated(loaded))
+    return [str(difference) for difference in find_differences(from_files, kept)]
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/environment.py
@@ -0,0 +1,47 @@
+"""Hold what commands need from the outside, so that tests can replace it."""
+
+import getpass
+import random
+import uuid
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import httpx
+import trio
+from attrs import field, frozen
+
+from .changes import ConfigurationChanger
+from .store import HttpStore
+
+
+def make_writer() -> str:
+    """Return an id for one write that begins with the operator's name."""
+    try:
+        operator = getpass.getuser()
+    except (KeyError, OSError):
+        operator = "operator"
+    return f"{operator}-{uuid.uuid4()}"
+
+
+@frozen
+class Environment:
+    """Give commands their transport, randomness, time and ids."""
+
+    transport: httpx.AsyncBaseTransport | None = None
+    rng: random.Random = field(factory=random.Random)
+    sleep: Callable[[float], Awaitable[None]] = trio.sleep
+    make_writer: Callable[[], str] = make_writer
+
+    @asynccontextmanager
+    async def open_client(
+        self, timeout_s: float, url: str = ""
+    ) -> AsyncIterator[httpx.AsyncClient]:
+        """Open an HTTP client; proxies of the surroundings are not used."""
+        async with httpx.AsyncClient(
+            base_url=url, timeout=timeout_s, transport=self.transport, trust_env=False
+        ) as client:
+            yield client
+
+    def make_changer(self, store: HttpStore) -> ConfigurationChanger:
+        """Make the writer of configuration changes."""
+        return ConfigurationChanger(store, self.rng, self.sleep, self.make_writer)
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/explain.py
@@ -0,0 +1,133 @@
+"""Explain where a flow would go."""
+
+import ipaddress
+from enum import StrEnum
+
+from attrs import frozen
+
+from fescueseam.conf.models import Configuration, Transport
+from fescueseam.exceptions import ErrorKind, PacketError
+from fescueseam.flows.keys import PROTOCOL_TCP, PROTOCOL_UDP, FlowKey, compute_bucket
+from fescueseam.routing.table import Member, Table
+from fescueseam.routing.view import View
+
+
+class Part(StrEnum):
+    """Tell what a member of the row does for the flow."""
+
+    RECORDER = "recorder"
+    CANDIDATE = "candidate"
+    OWNER = "earlier owner"
+
+
+@frozen
+class Step:
+    """Describe one member of the flow's row, in order."""
+
+    name: str
+    data_centre: str
+    part: Part
+    reason: str
+
+
+@frozen
+class Explanation:
+    """Hold where a flow would go and why."""
+
+    flow: str
+    service: str
+    service_class: str
+    config_version: int
+    epoch: int
+    bucket: int
+    buckets: int
+    steps: tuple[Step, ...]
+    conclusion: str
+
+
+@frozen
+class Endpoint:
+    """Hold one end of a flow."""
+
+    address: bytes
+    port: int
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the end of a flow at "address:port"."""
+    address, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= 65535:
+        raise ValueError(f"{text!r} is not address:port")
+    return Endpoint(ipaddress.ip_address(address.strip("[]")).packed, int(port))
+
+
+def find_service_name(cfg: Configuration, destination: Endpoint) -> str:
+    """Return the service behind an address; raise PacketError if there is none."""
+    view = View()
+    view.set_configuration(cfg)
+    service = view.find_service(destination.address)
+    if service is None:
+        address = ipaddress.ip_address(destination.address)
+        raise PacketError(f"no service has the address {address}", ErrorKind.UNKNOWN_SERVICE)
+    return service.name
+
+
+def explain_flow(
+    cfg: Configuration, table: Table, source: Endpoint, destination: Endpoint
+) -> Explanation:
+    """Return the row of a flow as every process with this table computes it."""
+    view = View()
+    view.set_configuration(cfg)
+    view.set_table(table)
+    service_class = view.find_class(table.service, destination.port)
+    if service_class is None:
+        raise PacketError(
+            f"{table.service!r} has no class on port {destination.port}", ErrorKind.UNKNOWN_CLASS
+        )
+    protocol = PROTOCOL_TCP if service_class.transport is Transport.TCP else PROTOCOL_UDP
+    key = FlowKey(protocol, source.address, source.port, destination.address, destination.port)
+    bucket = compute_bucket(key, table.seed, table.buckets)
+    row = view.find_row(table.service, bucket)
+    recorder = view.find_recorder(table.service, bucket)
+    steps = tuple(
+        _describe_member(view, member, recorder, is_owner=member in row.owners)
+        for member in row.members
+    )
+    return Explanation(
+        str(key),
+        table.service,
+        service_class.name,
+        cfg.version,
+        table.epoch,
+        bucket,
+        table.buckets,
+        steps,
+        _conclude(recorder),
+    )
+
+
+def _describe_member(view: View, member: Member, recorder: Member | None, is_owner: bool) -> Step:
+    part = Part.OWNER if is_owner else Part.CANDIDATE
+    part = Part.RECORDER if member == recorder else part
+    return Step(member.name, member.data_centre, part, _find_reason(view, member, part))
+
+
+def _find_reason(view: View, member: Member, part: Part) -> str:
+    if view.is_out(member.data_centre):
+        return f"skipped: {member.data_centre} is out"
+    if part is Part.OWNER:
+        return f"{member.state}: keeps its flows, takes no new one"
+    if view.is_draining(member.name):
+        return "drains: keeps its flows, takes no new one"
+    if part is Part.RECORDER:
+        return "first usable of the row: gets every packet and chooses the backend server"
+    return "may get a new flow that the recorder offers it"
+
+
+def _conclude(recorder: Member | None) -> str:
+    if recorder is None:
+        return "no member of the row is usable: a new flow is refused"
+    return (
+        f"balancers send the flow's packets to {recorder.name}; for a new flow it asks the "
+        "candidates for room, and which one has room only the running processes know"
+    )
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/file_commands.py
@@ -0,0 +1,121 @@
+"""Offer the commands that work on settings files alone."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from fescueseam.checks.faults import Fault, has_errors
+from fescueseam.conf.differences import render_value
+from fescueseam.conf.documents import iterate_leaves
+from fescueseam.conf.loading import (
+    encode_configuration,
+    load_process_settings,
+)
+from fescueseam.conf.models import Configuration
+from fescueseam.conf.structuring import structure_document, suggest
+from fescueseam.exceptions import KINDS, ErrorKind, SettingsError
+
+from .files import read_deployment, read_file, write_example
+from .options import FolderArgument, OutputOption, Session, run, start_session
+from .output import OutputFormat, describe_fault
+
+DEFAULT_ORIGIN = "(default)"
+
+ProcessOption = Annotated[
+    list[Path] | None,
+    typer.Option("--process", help="Check these files, base first, as one process's settings."),
+]
+
+
+def init(
+    ctx: typer.Context, folder: FolderArgument, output: OutputOption = OutputFormat.TABLE
+) -> None:
+    """Write an example configuration to start from."""
+    session = start_session(ctx, output)
+
+    def write() -> None:
+        paths = [str(path) for path in write_example(folder)]
+        if session.printer.is_json:
+            session.printer.print_json({"written": paths})
+            return
+        session.printer.print_lines(f"wrote {path}" for path in paths)
+        session.printer.print_lines(["docs/reference/settings.md explains every key"])
+
+    run(session, write)
+
+
+def check(
+    ctx: typer.Context,
+    folder: Annotated[Path | None, typer.Argument(help="Folder of a deployment.")] = None,
+    process: ProcessOption = None,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """List every fault of a deployment's files, or of one process's settings."""
+    if (folder is None) == (not process):
+        raise typer.BadParameter("name either a folder or files with --process")
+    session = start_session(ctx, output)
+
+    def list_faults() -> None:
+        faults = read_deployment(folder).faults if folder else _find_process_faults(process or [])
+        print_faults(session, faults)
+        if has_errors(faults):
+            raise typer.Exit(KINDS[ErrorKind.INVALID_SETTINGS].exit_code)
+
+    run(session, list_faults)
+
+
+def show_settings(
+    ctx: typer.Context,
+    folder: FolderArgument,
+    site: Annotated[str, typer.Option("--site", help="Data centre whose overlay applies.")],
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show each value in force at a site and the file that it came from."""
+    session = start_session(ctx, output)
+    run(session, lambda: _show(session, folder, site))
+
+
+def print_faults(session: Session, faults: tuple[Fault, ...]) -> None:
+    """Print faults, errors and warnings alike."""
+    printer = session.printer
+    if printer.is_json:
+        printer.print_json({"faults": [describe_fault(fault) for fault in faults]})
+    elif not faults:
+        printer.print_lines(["no faults"])
+    else:
+        headings = ("ID", "FILE", "PATH", "FAULT", "HINT")
+        rows = [(fault.id, fault.file, fault.path, fault.message, fault.hint) for fault in faults]
+        printer.print_table(headings, rows)
+
+
+def _find_process_faults(paths: list[Path]) -> tuple[Fault, ...]:
+    files = [read_file(path) for path in paths]
+    try:
+        load_process_settings(files[0], files[1:])
+    except SettingsError as exc:
+        return exc.faults
+    return ()
+
+
+def _show(session: Session, folder: Path, site: str) -> None:
+    loaded = read_deployment(folder)
+    cfg = loaded.require()
+    names = [data_centre.name for data_centre in cfg.data_centres]
+    if site not in names:
+        raise SettingsError(f"there is no data centre {site!r} ({suggest(site, names)})")
+    document = loaded.sites.get(site, loaded.base)
+    merged = structure_document(document, Configuration)
+    assert merged is not None
+    encoded = encode_configuration(merged)
+    rows = [
+        (path, value, document.origins.get(path, DEFAULT_ORIGIN))
+        for path, value in iterate_leaves(encoded)
+        if not path.startswith(("version", "sites"))
+    ]
+    if session.printer.is_json:
+        values = [{"path": path, "value": value, "file": file} for path, value, file in rows]
+        session.printer.print_json({"site": site, "values": values})
+        return
+    shown = [(path, render_value(value), file) for path, value, file in rows]
+    session.printer.print_table(("PATH", "VALUE", "FILE"), shown)
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/files.py
@@ -0,0 +1,50 @@
+"""Read and write the settings files of a deployment."""
+
+from importlib import resources
+from pathlib import Path
+
+from fescueseam.checks.schema import render_configuration_schema
+from fescueseam.conf.documents import SettingsFile
+from fescueseam.conf.loading import LoadedConfiguration, inspect_configuration
+from fescueseam.exceptions import SettingsError
+
+BASE_NAME = "base.json"
+SITES_NAME = "sites"
+SCHEMA_NAME = "configuration.schema.json"
+TEMPLATES = ("base.json", "sites/north.json")
+
+
+def read_file(path: Path, root: Path | None = None) -> SettingsFile:
+    """Read one file; name it relative to a root."""
+    name = str(path.relative_to(root)) if root else str(path)
+    try:
+        return SettingsFile(name, path.read_bytes())
+    except OSError as exc:
+        raise SettingsError(f"{path} cannot be read: {exc.strerror}") from exc
+
+
+def read_deployment(folder: Path) -> LoadedConfiguration:
+    """Read the base file of a folder and the overlay of each site."""
+    base = read_file(folder / BASE_NAME, folder)
+    sites = {
+        path.stem: read_file(path, folder) for path in sorted((folder / SITES_NAME).glob("*.json"))
+    }
+    return inspect_configuration(base, sites)
+
+
+def write_example(folder: Path) -> tuple[Path, ...]:
+    """Write an example to start from; existing files are never replaced."""
+    contents = {name: _read_template(name) for name in TEMPLATES}
+    contents[SCHEMA_NAME] = render_configuration_schema()
+    paths = {folder / name: text for name, text in contents.items()}
+    taken = [str(path) for path in paths if path.exists()]
+    if taken:
+        raise SettingsError("these files exist and are left alone: " + ", ".join(taken))
+    for path, text in paths.items():
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text)
+    return tuple(paths)
+
+
+def _read_template(name: str) -> str:
+    return resources.files(__package__).joinpath("templates", name).read_text()
--- a/packages/fescueseam-cli/src/fescueseam_cli/main.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/main.py
@@ -1,5 +1,34 @@
-"""Start the daemons."""
+"""Start the operators' command."""
+
+import typer
+
+from . import change_commands, file_commands, view_commands
+
+app = typer.Typer(
+    name="fescueseam",
+    help="Configure and observe fescueseam. Exit codes: docs/reference/exit-codes.md.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+data_centre = typer.Typer(help="Take a data centre out of service or bring it in.")
+settings = typer.Typer(help="Show settings.")
+
+app.command()(file_commands.init)
+app.command()(file_commands.check)
+app.command()(change_commands.diff)
+app.command()(change_commands.apply)
+app.command()(change_commands.drain)
+app.command()(view_commands.status)
+app.command()(view_commands.explain)
+app.command()(view_commands.watch)
+app.add_typer(data_centre, name="data-centre", no_args_is_help=True)
+data_centre.command("out")(change_commands.take_out)
+data_centre.command("in")(change_commands.bring_in)
+app.add_typer(settings, name="settings", no_args_is_help=True)
+settings.callback()(lambda: None)
+settings.command("show")(file_commands.show_settings)
 
 
 def main() -> None:
-    """Start the daemon named on the command line."""
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/options.py
@@ -0,0 +1,96 @@
+"""Define the options that commands share and run commands with them."""
+
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Annotated, Any
+
+import httpx
+import trio
+import typer
+from attrs import frozen
+
+from fescueseam.exceptions import KINDS, FescueseamError, SettingsError, StoreError
+
+from .changes import ConfigurationChanger
+from .environment import Environment
+from .output import OutputFormat, Printer
+from .store import HttpStore
+
+DEFAULT_TIMEOUT_S = 5.0
+
+StoreOption = Annotated[
+    str,
+    typer.Option(
+        "--store", metavar="URL", envvar="FESCUESEAM_STORE", help="URL of the platform's store."
+    ),
+]
+OutputOption = Annotated[OutputFormat, typer.Option("--output", help="Format of the result.")]
+TimeoutOption = Annotated[
+    float, typer.Option("--timeout-s", min=0.1, help="Bound each call, in seconds.")
+]
+FolderArgument = Annotated[
+    Path, typer.Argument(help="Folder with base.json and sites/<data centre>.json.")
+]
+
+
+@frozen
+class Session:
+    """Hold what one command works with."""
+
+    environment: Environment
+    printer: Printer
+    store_url: str = ""
+    timeout_s: float = DEFAULT_TIMEOUT_S
+
+    @asynccontextmanager
+    async def open_store(self) -> AsyncIterator[HttpStore]:
+        """Open the store; raise StoreError where none is named."""
+        if not self.store_url:
+            raise SettingsError("no store is named: use --store URL or FESCUESEAM_STORE")
+        async with self.open_client(self.store_url) as client:
+            yield HttpStore(client)
+
+    @asynccontextmanager
+    async def open_changer(self) -> AsyncIterator[ConfigurationChanger]:
+        """Open the store for changes of the configuration."""
+        async with self.open_store() as store:
+            yield self.environment.make_changer(store)
+
+    @asynccontextmanager
+    async def open_client(self, url: str = "") -> AsyncIterator[httpx.AsyncClient]:
+        """Open an HTTP client."""
+        async with self.environment.open_client(self.timeout_s, url) as client:
+            yield client
+
+
+def start_session(
+    ctx: typer.Context,
+    output: OutputFormat,
+    store_url: str = "",
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> Session:
+    """Return the session of a command."""
+    environment = ctx.obj if isinstance(ctx.obj, Environment) else Environment()
+    return Session(environment, Printer(output), store_url, timeout_s)
+
+
+def run_async(session: Session, command: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    """Run a command that makes calls; print an error and end with its exit code."""
+    run(session, partial(trio.run, command, session, *arguments))
+
+
+def run(session: Session, command: Callable[[], None]) -> None:
+    """Run a command; print an error and end with its exit code."""
+    try:
+        command()
+    except FescueseamError as exc:
+        session.printer.print_error(exc)
+        if isinstance(exc, StoreError) and not session.printer.is_json:
+            hint = "'fescueseam status --peer ADDRESS:PORT' works without the store"
+            print(f"hint: {hint}", file=sys.stderr)
+        raise typer.Exit(KINDS[exc.kind].exit_code) from exc
+    except ValueError as exc:
+        raise typer.BadParameter(str(exc)) from exc
--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/conftest.py
@@ -0,0 +1,162 @@
+import itertools
+import json
+import os
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import httpx
+import pytest
+from attrs import define, field
+from typer.testing import CliRunner, Result
+
+from fescueseam.conf.accepted import CONFIGURATION_KEY
+from fescueseam_cli.environment import Environment
+from fescueseam_cli.main import app
+
+STORE = "http://store.test"
+EXAMPLES = Path(__file__).parents[5] / "examples"
+
+
+@define
+class FakeStore:
+    """Answer like the platform's object API, and fail as a test asks."""
+
+    objects: dict[str, tuple[int, object]] = field(factory=dict)
+    revision: int = 0
+    before_put: list[Callable[["FakeStore"], None]] = field(factory=list)
+    after_put: list[Callable[["FakeStore"], None]] = field(factory=list)
+    lose_replies: int = 0
+    """Carry out this many writes and answer none of them."""
+    lose_requests: int = 0
+    """Neither carry out nor answer this many writes."""
+    stale_reads: int = 0
+    """Answer this many reads after the next write with what was there before it."""
+    away: str = ""
+    down_calls: int = 0
+    previous: dict[str, tuple[int, object]] = field(factory=dict)
+    calls: list[str] = field(factory=list)
+    statuses: dict[str, object] = field(factory=dict)
+    """Map the place of each process to its status; None lets the call time out."""
+
+    def write(self, key: str, value: object) -> int:
+        self.previous = dict(self.objects)
+        self.revision += 1
+        self.objects[key] = (self.revision, value)
+        return self.revision
+
+    def handle(self, request: httpx.Request) -> httpx.Response:
+        if request.url.host != "store.test":
+            return self._answer_status(request)
+        self.calls.append(f"{request.method} {request.url.path}")
+        if self.away == "refused":
+            raise httpx.ConnectError("connection refused")
+        if self.away == "slow":
+            raise httpx.ReadTimeout("timed out")
+        if self.away or self.down_calls:
+            self.down_calls = max(0, self.down_calls - 1)
+            return httpx.Response(503, json={"error": "away"})
+        if request.url.path == "/watch":
+            return self._answer_watch(request)
+        if request.method == "PUT":
+            return self._answer_put(request)
+        return self._answer_read(request)
+
+    def _answer_put(self, request: httpx.Request) -> httpx.Response:
+        if self.before_put:
+            self.before_put.pop(0)(self)
+        if self.lose_requests:
+            self.lose_requests -= 1
+            raise httpx.ReadError("connection reset")
+        key = request.url.path.removeprefix("/objects/")
+        current = self.objects.get(key, (0, None))[0]
+        if int(request.headers["If-Match"].strip('"')) != current:
+            return httpx.Response(412, json={"key": key, "version": current})
+        version = self.write(key, json.loads(request.content))
+        while self.after_put:
+            self.after_put.pop(0)(self)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            raise httpx.RemoteProtocolError("server disconnected")
+        return httpx.Response(200, json={"key": key, "version": version})
+
+    def _answer_read(self, request: httpx.Request) -> httpx.Response:
+        objects = self.objects
+        if self.stale_reads and self.previous:
+            self.stale_reads -= 1
+            objects = self.previous
+        key = request.url.path.removeprefix("/objects/")
+        if key != request.url.path:
+            if key not in objects:
+                return httpx.Response(404, json={"key": key})
+            return httpx.Response(200, json=describe(key, objects[key]))
+        prefix = request.url.params["prefix"]
+        found = [describe(key, item) for key, item in objects.items() if key.startswith(prefix)]
+        return httpx.Response(200, json={"revision": self.revision, "objects": found})
+
+    def _answer_watch(self, request: httpx.Request) -> httpx.Response:
+        after = int(request.url.params["after"])
+        prefix = request.url.params["prefix"]
+        found = [
+            describe(key, item)
+            for key, item in self.objects.items()
+            if key.startswith(prefix) and item[0] > after
+        ]
+        assert found, "a watch would wait for ever"
+        body = {"revision": self.revision, "objects": found, "deleted": []}
+        if self.before_put:
+            self.before_put.pop(0)(self)
+        return httpx.Response(200, json=body)
+
+    def _answer_status(self, request: httpx.Request) -> httpx.Response:
+        place = f"{request.url.host}:{request.url.port}"
+        if place not in self.statuses:
+            raise httpx.ConnectError("connection refused")
+        if self.statuses[place] is None:
+            raise httpx.ReadTimeout("timed out")
+        return httpx.Response(200, json=self.statuses[place])
+
+    @property
+    def accepted(self) -> dict:
+        return self.objects[CONFIGURATION_KEY][1]
+
+
+def describe(key: str, item: tuple[int, object]) -> dict:
+    return {"key": key, "version": item[0], "value": item[1]}
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    return FakeStore()
+
+
+@pytest.fixture
+def slept() -> list[float]:
+    return []
+
+
+@pytest.fixture
+def run(store: FakeStore, slept: list[float]) -> Callable[..., Result]:
+    numbers = itertools.count(1)
+
+    async def sleep(seconds: float) -> None:
+        slept.append(seconds)
+
+    environment = Environment(
+        transport=httpx.MockTransport(store.handle),
+        rng=random.Random(int(os.environ.get("SEED", "1"))),
+        sleep=sleep,
+        make_writer=lambda: f"ana-{next(numbers)}",
+    )
+
+    def invoke(*arguments: object, store_url: str = STORE) -> Result:
+        texts = [str(argument) for argument in arguments]
+        env = {"FESCUESEAM_STORE": store_url}
+        return CliRunner().invoke(app, texts, obj=environment, env=env)
+
+    return invoke
+
+
+@pytest.fixture
+def folder() -> Path:
+    return EXAMPLES / "lintang"
--- a/packages/fescueseam/src/fescueseam/checks/configuration.py
+++ b/packages/fescueseam/src/fescueseam/checks/configuration.py
@@ -81,9 +81,8 @@
             yield from check_port(f"{class_path}.port", service_class.port)
             yield from _check_times(class_path, service_class)
             yield from _check_repeatable(class_path, service_class)
-            # QUIC and other UDP flows share the port numbers of UDP.
-            protocol = "tcp" if service_class.transport is Transport.TCP else "udp"
-            ports.append((f"{class_path}.port", f"{protocol}/{service_class.port}"))
+            # A packet's class is known by its port alone, whatever its transport.
+            ports.append((f"{class_path}.port", service_class.port))
         yield from check_unique(ports, "port")
 
 
--- a/packages/fescueseam/src/fescueseam/checks/faults.py
+++ b/packages/fescueseam/src/fescueseam/checks/faults.py
@@ -101,7 +101,7 @@
         return self.id.level
 
     def __str__(self) -> str:
-        place = f"{self.file}: {self.path}" if self.path else self.file
+        place = ": ".join(part for part in (self.file, self.path) if part)
         hint = f" ({self.hint})" if self.hint else ""
         return f"{self.id} {place}: {self.message}{hint}"
 
--- a/packages/fescueseam/src/fescueseam/checks/process.py
+++ b/packages/fescueseam/src/fescueseam/checks/process.py
@@ -5,6 +5,7 @@
 from fescueseam.checks.faults import Fault, FaultId
 from fescueseam.checks.registry import register
 from fescueseam.checks.values import (
+    MAX_PORT,
     check_address,
     check_name,
     check_port,
@@ -86,6 +87,8 @@
         return
     yield from check_address("backend.address", settings.backend.address)
     yield from check_url("backend.load_url", settings.backend.load_url)
+    offset = settings.backend.port_offset
+    yield from check_range("backend.port_offset", offset, 0, MAX_PORT - 1)
     yield from check_port("backend.decapsulation_port", settings.backend.decapsulation_port)
 
 
--- a/packages/fescueseam/src/fescueseam/conf/accepted.py
+++ b/packages/fescueseam/src/fescueseam/conf/accepted.py
@@ -4,7 +4,8 @@
 
 from fescueseam.conf.documents import JsonObject, JsonValue
 from fescueseam.conf.loading import decode_configuration, encode_configuration
-from fescueseam.conf.models import Configuration
+from fescueseam.conf.models import Configuration, DataCentreState, EndpointRule
+from fescueseam.conf.structuring import suggest
 from fescueseam.exceptions import SettingsError
 
 CONFIGURATION_KEY = "config"
@@ -61,3 +62,40 @@
         raise SettingsError("the accepted configuration has no version or writer")
     cfg = evolve(decode_configuration(value.get("configuration")), version=version)
     return AcceptedConfiguration(writer, cfg, tuple(str(item) for item in earlier))
+
+
+def keep_operational_state(
+    current: Configuration, cfg: Configuration, stated: frozenset[str]
+) -> Configuration:
+    """Return a configuration from files with the states set by command that no file states."""
+    states = {data_centre.name: data_centre.state for data_centre in current.data_centres}
+    data_centres = tuple(
+        (
+            data_centre
+            if f"data_centres[{data_centre.name}].state" in stated
+            else evolve(data_centre, state=states.get(data_centre.name, data_centre.state))
+        )
+        for data_centre in cfg.data_centres
+    )
+    known = {rule.name for rule in cfg.endpoints}
+    kept = tuple(rule for rule in current.endpoints if rule.name not in known)
+    return evolve(cfg, data_centres=data_centres, endpoints=cfg.endpoints + kept)
+
+
+def set_data_centre_state(cfg: Configuration, name: str, state: DataCentreState) -> Configuration:
+    """Return a configuration with a data centre in or out of service."""
+    names = [data_centre.name for data_centre in cfg.data_centres]
+    if name not in names:
+        raise SettingsError(f"there is no data centre {name!r} ({suggest(name, names)})")
+    data_centres = tuple(
+        evolve(data_centre, state=state) if data_centre.name == name else data_centre
+        for data_centre in cfg.data_centres
+    )
+    return evolve(cfg, data_centres=data_centres)
+
+
+def set_drain(cfg: Configuration, name: str, drain: bool) -> Configuration:
+    """Return a configuration that drains a backend server or no longer does."""
+    others = tuple(rule for rule in cfg.endpoints if rule.name != name)
+    added = (EndpointRule(name, drain=True),) if drain else ()
+    return evolve(cfg, endpoints=others + added)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/conf/differences.py
@@ -0,0 +1,127 @@
+"""Compare two configurations."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+from fescueseam.conf.documents import JsonObject, JsonValue, iterate_leaves
+from fescueseam.conf.loading import encode_configuration
+from fescueseam.conf.models import Configuration
+
+NAME_LEAF = ".name"
+
+
+class DifferenceKind(StrEnum):
+    """Tell what happened to a value or to a named item."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@frozen
+class Difference:
+    """Describe one value, or one whole named item, that differs."""
+
+    kind: DifferenceKind
+    path: str
+    before: JsonValue = None
+    after: JsonValue = None
+
+    def __str__(self) -> str:
+        if self.kind is DifferenceKind.CHANGED:
+            return f"{self.path}: {render_value(self.before)} -> {render_value(self.after)}"
+        value = self.before if self.kind is DifferenceKind.REMOVED else self.after
+        shown = "" if value is None else f" ({render_value(value)})"
+        return f"{self.path} {self.kind}{shown}"
+
+
+def render_value(value: JsonValue) -> str:
+    """Return a leaf as people read it."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "nothing" if value in (None, [], {}) else str(value)
+
+
+def find_differences(before: Configuration, after: Configuration) -> tuple[Difference, ...]:
+    """Return what differs between two configurations, versions aside."""
+    old = dict(iterate_leaves(_build_view(before)))
+    new = dict(iterate_leaves(_build_view(after)))
+    added = _find_items(new, old)
+    removed = _find_items(old, new)
+    whole = tuple(f"{path}." for path in (*added, *removed))
+    found = [Difference(DifferenceKind.ADDED, path, after=new[path + SUMMARY]) for path in added]
+    found += [
+        Difference(DifferenceKind.REMOVED, path, before=old[path + SUMMARY]) for path in removed
+    ]
+    for path in sorted(old.keys() | new.keys()):
+        if old.get(path) == new.get(path) or path.startswith(whole) or path.endswith(SUMMARY):
+            continue
+        # A list that becomes empty has no items, so the list itself stands as a leaf.
+        if old.get(path) in (None, []) and new.get(path) in (None, []):
+            continue
+        found.append(Difference(DifferenceKind.CHANGED, path, old.get(path), new.get(path)))
+    return tuple(sorted(found, key=lambda difference: difference.path))
+
+
+def find_common_paths(
+    first: tuple[Difference, ...], second: tuple[Difference, ...]
+) -> tuple[str, ...]:
+    """Return the paths that two changes both touch, one inside the other included."""
+    common = {
+        max(one.path, other.path, key=len)
+        for one in first
+        for other in second
+        if _contains(one.path, other.path) or _contains(other.path, one.path)
+    }
+    return tuple(sorted(common))
+
+
+SUMMARY = ".(summary)"
+"""Carry the one line that stands for a whole item."""
+
+
+def _build_view(cfg: Configuration) -> JsonObject:
+    encoded = encode_configuration(cfg)
+    del encoded["version"]
+    for items in encoded.values():
+        assert isinstance(items, list)
+        for item in items:
+            assert isinstance(item, dict)
+            _prepare_item(item)
+    return encoded
+
+
+def _prepare_item(item: JsonObject) -> None:
+    if "name" not in item:
+        item["name"] = f"{item.pop('data_centre')}/{item.pop('service')}"
+    classes = item.get("classes")
+    if isinstance(classes, list):
+        for service_class in classes:
+            assert isinstance(service_class, dict)
+            _prepare_item(service_class)
+    item[SUMMARY[1:]] = _summarise(item)
+
+
+def _summarise(item: JsonObject) -> str | None:
+    for key in ("address", "port", "state", "drain"):
+        if key in item:
+            return f"{key} {render_value(item[key])}"
+    return None
+
+
+def _find_items(here: dict[str, JsonValue], there: dict[str, JsonValue]) -> tuple[str, ...]:
+    items = {
+        path.removesuffix(NAME_LEAF)
+        for path in here
+        if path.endswith(NAME_LEAF) and path not in there
+    }
+    return tuple(item for item in sorted(items) if not _has_outer(item, items))
+
+
+def _has_outer(item: str, items: set[str]) -> bool:
+    return any(item.startswith(f"{outer}.") for outer in items)
+
+
+def _contains(outer: str, inner: str) -> bool:
+    return inner == outer or inner.startswith((f"{outer}.", f"{outer}["))
--- a/packages/fescueseam/src/fescueseam/conf/documents.py
+++ b/packages/fescueseam/src/fescueseam/conf/documents.py
@@ -135,7 +135,7 @@
             _forget_origins(document, path)
         document.origins.setdefault(path, file)
         _merge_named_list(document, current, value, path, file)
-    else:
+    elif key not in base or value != current or type(value) is not type(current):
         base[key] = value
         _forget_origins(document, path)
         document.origins[path] = file
--- a/packages/fescueseam/src/fescueseam/conf/loading.py
+++ b/packages/fescueseam/src/fescueseam/conf/loading.py
@@ -30,6 +30,18 @@
 from fescueseam.conf.structuring import make_converter, structure_document, suggest
 from fescueseam.exceptions import SettingsError
 
+__all__ = [
+    "LoadedConfiguration",
+    "SettingsFile",
+    "decode_configuration",
+    "encode_configuration",
+    "find_admission",
+    "inspect_configuration",
+    "load_configuration",
+    "load_process_settings",
+    "make_settings_error",
+]
+
 Settings = TypeVar("Settings")
 
 COMPUTED_KEYS = ("version", "sites")
--- a/packages/fescueseam/src/fescueseam/conf/tests/test_loading.py
+++ b/packages/fescueseam/src/fescueseam/conf/tests/test_loading.py
@@ -4,6 +4,7 @@
 import attrs
 import jsonschema
 import pytest
+
 from fescueseam.checks.schema import render_configuration_schema, render_process_schema
 from fescueseam.conf.accepted import (
     EARLIER_WRITERS,
