Number claims, so that late answers and releases touch no later claim

Cause: read through by hand, then shown: after a claim was given up, a late grant of it counted for the next claim of the same recorder, and a late release took the next claim's grant away; either way two recorders could hold a majority for one flow. Ruled out: longer waits before a claim is given up; a delayed message has no bound that helps. Change: asks, answers and releases carry the claim's number; a released claim is not granted again; an unresolved flow's packets go to its candidate, and its opening is never placed anew; a first flight of several packets is kept whole.

--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -198,17 +198,17 @@
         table = self.view.find_table(self.service)
         current = table is not None and message.epoch >= table.epoch
         granted = (
-            body.claim
+            body.claim > 0
             and current
-            and self.claims.grant(body.flow, message.sender, message.incarnation, now)
+            and self.claims.grant(body.flow, message.sender, message.incarnation, body.claim, now)
         )
         holds = self.home.has_delivered(body.flow, now) or (
             body.flow in self.home.held and self.home.held[body.flow].recorder != message.sender
         )
-        return [self._answer(message, types.AskAnswer(body.flow, holds, granted))]
+        return [self._answer(message, types.AskAnswer(body.flow, holds, granted, body.claim))]
 
     def _take_release(self, message: types.Message, body: types.Release, now: float) -> Effects:
-        self.claims.release(body.flow, message.sender, message.incarnation)
+        self.claims.release(body.flow, message.sender, message.incarnation, body.claim)
         record = self.home.flows.find(body.flow)
         if record is None or not record.service_class.repeatable:
             return []
--- a/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
+++ b/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
@@ -109,9 +109,9 @@
 def test_restarted_member_grants_nothing_until_old_packets_are_dead(cluster: Cluster) -> None:
     agent = cluster.start("server-1", incarnation=2)
     flow = parse_packet(build_packet(ONCE_PORT, 1)).flow
-    assert not agent.claims.grant(flow, "server-0", 1, cluster.now)
+    assert not agent.claims.grant(flow, "server-0", 1, 1, cluster.now)
     later = cluster.now + PACKET_LIFETIME_S
-    assert agent.claims.grant(flow, "server-0", 1, later)
+    assert agent.claims.grant(flow, "server-0", 1, 1, later)
 
 
 def test_new_recorder_finds_the_flows_of_the_former_one(
@@ -231,3 +231,44 @@
     assert gate.note_report(LoadReport(1, 0, 0, arrived, 0.1), arrived)
     assert gate.slot_bound == 1
     assert gate.judge(FlowKind.REQUEST, arrived, arrived) is Verdict.FULL
+
+
+def test_grant_of_an_abandoned_claim_does_not_count_for_the_next(cluster: Cluster) -> None:
+    late: list[tuple[str, Message]] = []
+
+    def keep(sender: str, target: str, message: Message) -> bool:
+        if isinstance(message.body, types.AskAnswer):
+            late.append((target, message))
+            return False
+        return True
+
+    cluster.keep = keep
+    raw = build_packet(ONCE_PORT, 1)
+    cluster.send(raw)
+    cluster.advance(3.0)
+    assert late
+    held = list(late)
+    cluster.keep = lambda sender, target, message: not isinstance(message.body, types.Ask)
+    cluster.send(raw)
+    for target, message in held:
+        cluster.run(target, cluster.agents[target].handle_message(message, cluster.now))
+    assert not cluster.opened
+
+
+def test_flow_lives_although_its_home_cannot_answer(cluster: Cluster) -> None:
+    raw = build_packet(ONCE_PORT, 1)
+    cluster.keep = lambda sender, target, message: not isinstance(message.body, types.Placed)
+    bucket_recorder = cluster.balancer.handle_packet(raw)[0]
+    recorder = cluster.agents[bucket_recorder.address]
+    # Let another member than the recorder itself be the home.
+    recorder.home.gate.draining = True
+    cluster.send(raw)
+    cluster.advance(2.0)
+    cluster.send(build_packet(ONCE_PORT, 1, b"more"))
+    assert len(cluster.opened) == 1
+    assert len(cluster.delivered) == 2
+    cluster.advance(12.0)
+    cluster.send(raw)
+    cluster.advance(1.0)
+    assert len(cluster.opened) == 1
+    assert not cluster.refused
--- a/packages/fescueseam/src/fescueseam/claims/registry.py
+++ b/packages/fescueseam/src/fescueseam/claims/registry.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fescueseam.flows.keys import FlowKey
 
@@ -15,11 +15,14 @@
 
 @frozen
 class Grant:
-    """Hold who may place a flow, and until when."""
+    """Hold who may place a flow by which claim, and until when."""
 
     recorder: str
     incarnation: int
+    claim: int
     expires: float
+    released: bool = False
+    """Tell that the claim was given back; a late copy of its ask is not granted again."""
 
 
 @define
@@ -29,24 +32,33 @@
     started: float
     _grants: OrderedDict[FlowKey, Grant] = field(factory=OrderedDict)
 
-    def grant(self, flow: FlowKey, recorder: str, incarnation: int, now: float) -> bool:
+    def grant(self, flow: FlowKey, recorder: str, incarnation: int, claim: int, now: float) -> bool:
         """Grant a flow to a recorder unless another one has it; asking again is harmless."""
         if now < self.started + PACKET_LIFETIME_S:
             return False
         self._expire(now)
         known = self._grants.get(flow)
-        if known is not None:
-            return known.recorder == recorder and known.incarnation == incarnation
-        if len(self._grants) >= GRANTS_LIMIT:
+        if known is None and len(self._grants) >= GRANTS_LIMIT:
             return False
-        self._grants[flow] = Grant(recorder, incarnation, now + GRANT_S)
+        if known is not None:
+            same = (known.recorder, known.incarnation) == (recorder, incarnation)
+            if same and known.released and claim <= known.claim:
+                return False
+            if not same and not known.released:
+                return False
+            if same and claim <= known.claim:
+                return claim == known.claim
+        self._grants[flow] = Grant(recorder, incarnation, claim, now + GRANT_S)
+        self._grants.move_to_end(flow)
         return True
 
-    def release(self, flow: FlowKey, recorder: str, incarnation: int) -> None:
-        """Take back a grant whose recorder has not placed the flow."""
+    def release(self, flow: FlowKey, recorder: str, incarnation: int, claim: int) -> None:
+        """Take back the grant of a claim that has placed nothing."""
         known = self._grants.get(flow)
-        if known is not None and (known.recorder, known.incarnation) == (recorder, incarnation):
-            del self._grants[flow]
+        if known is None or claim < known.claim:
+            return
+        if (known.recorder, known.incarnation) == (recorder, incarnation):
+            self._grants[flow] = evolve(known, released=True)
 
     def _expire(self, now: float) -> None:
         while self._grants:
--- a/packages/fescueseam/src/fescueseam/placement/opening.py
+++ b/packages/fescueseam/src/fescueseam/placement/opening.py
@@ -42,8 +42,8 @@
     phase: Phase
     started: float
     stage: Stage = Stage.ASKING
-    claim: bool = False
-    """Require the grants of a majority of the row's members."""
+    claim: int = 0
+    """Number the claim on a majority of the row's members; zero needs none."""
     asked: float = 0.0
     silent: set[str] = field(factory=set)
     """Name the members that have not answered the ask."""
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from fescueseam.claims.registry import PACKET_LIFETIME_S, count_majority
+from fescueseam.claims.registry import GRANT_S, PACKET_LIFETIME_S, count_majority
 from fescueseam.conf.models import ServiceClass
 from fescueseam.effects import Drop, Effects, Measure, Observe, Refuse, Send
 from fescueseam.exceptions import ErrorKind
@@ -50,6 +50,7 @@
     _since: dict[int, float] = field(factory=dict)
     _revision: int = -1
     _attempts: int = 0
+    _claims: int = 0
 
     def handle_packet(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
         """Send a packet to its flow's home, or begin to find one."""
@@ -78,6 +79,9 @@
             return []
         if answer.holds:
             return self._settle(opening, sender, now)
+        if answer.claim != opening.claim:
+            # The answer belongs to an earlier search, whose grants were given back.
+            return []
         opening.silent.discard(sender)
         if answer.granted:
             opening.granted.add(sender)
@@ -152,10 +156,12 @@
 
     def _start(self, opening: Opening, now: float) -> Effects:
         marked = opening.phase is Phase.OPENING
-        opening.claim = not opening.service_class.repeatable and opening.phase in (
+        if not opening.service_class.repeatable and opening.phase in (
             Phase.OPENING,
             Phase.UNMARKED,
-        )
+        ):
+            self._claims += 1
+            opening.claim = self._claims
         self.openings[opening.flow] = opening
         if marked and not opening.claim and self._is_settled(opening.flow, now):
             return self._place_next(opening, now)
@@ -242,7 +248,7 @@
         if member is not None and in_time:
             return self._offer(opening, member, now)
         if opening.abandoned:
-            return self._end_unresolved(opening)
+            return self._end_unresolved(opening, now)
         if now < opening.started + opening.service_class.wait_s:
             opening.stage = Stage.WAITING
             self.waiting[opening.flow] = opening
@@ -326,7 +332,7 @@
     def _give_up(self, opening: Opening) -> Effects:
         # Nothing was delivered under this claim, so its grants can be given back.
         self._remove(opening)
-        body = types.Release(opening.flow)
+        body = types.Release(opening.flow, opening.claim)
         effects: Effects = [
             self._send(member, body, opening.service_class)
             for member in self._list_row(opening.flow)
@@ -334,8 +340,10 @@
         ]
         return [*effects, Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
 
-    def _end_unresolved(self, opening: Opening) -> Effects:
+    def _end_unresolved(self, opening: Opening, now: float) -> Effects:
         self._remove(opening)
+        if opening.claim:
+            self._remember(self._spent, opening.flow, now + GRANT_S)
         return [Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
 
     def _remove(self, opening: Opening) -> None:
@@ -352,16 +360,27 @@
     # Time
 
     def _repeat(self, opening: Opening, packet: Packet, now: float) -> Effects:
-        phase = find_phase(packet, opening.service_class.transport)
-        if phase is not Phase.OPENING and packet.raw != opening.packet.raw:
-            kept = opening.keep(packet)
-            return [] if kept else [Drop(ErrorKind.TABLE_FULL, opening.service_class.name)]
-        if opening.stage is Stage.UNRESOLVED and now >= opening.sent + RESEND_S:
+        name = opening.service_class.name
+        if opening.stage is Stage.UNRESOLVED:
+            return self._repeat_unresolved(opening, packet, now)
+        # A client's first flight may take several packets, each of which looks like an opening.
+        if packet.raw == opening.packet.raw:
+            return [Drop(ErrorKind.DUPLICATE_OPENING, name)]
+        return [] if opening.keep(packet) else [Drop(ErrorKind.TABLE_FULL, name)]
+
+    def _repeat_unresolved(self, opening: Opening, packet: Packet, now: float) -> Effects:
+        # If the candidate has delivered the opening, the flow lives there although its answer
+        # was lost.
+        member = self._find_member(opening.candidate)
+        if member is None:
+            return [Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
+        effects: Effects = []
+        if now >= opening.sent + RESEND_S:
             opening.sent = now
-            member = self._find_member(opening.candidate)
-            if member is not None:
-                return [self._send_place(opening, member)]
-        return [Drop(ErrorKind.DUPLICATE_OPENING, opening.service_class.name)]
+            effects.append(self._send_place(opening, member))
+        if packet.raw != opening.packet.raw:
+            effects.append(self._carry_home(member, packet, opening.service_class))
+        return effects
 
     def _advance(self, opening: Opening, now: float) -> Effects:
         if opening.stage is Stage.WAITING:
@@ -369,7 +388,7 @@
             return self._refuse(opening, now) if over else []
         if opening.stage is Stage.UNRESOLVED:
             over = now >= opening.started + PACKET_LIFETIME_S
-            return self._end_unresolved(opening) if over else []
+            return self._end_unresolved(opening, now) if over else []
         if now < opening.sent + RESEND_S * 2**opening.resends:
             return []
         if opening.resends >= RESENDS_LIMIT:
