Confirm that nothing has to change by a conditional write

Cause: with stale reads switched on at the platform stand-in, a data centre that was in again was reported as out already, with exit code 0. Ruled out: a second read, which may be as stale. Change: where a change seems needless, write the same value on the condition of the version that was read; on a conflict read again.

--- a/packages/fescueseam-cli/src/fescueseam_cli/changes.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/changes.py
@@ -80,22 +80,36 @@
 
     async def change(self, change: Change, expected_version: int | None = None) -> ChangeResult:
         """Write a change once; raise ConfigurationConflictError if another one came first."""
-        current = await read_current(self._store)
-        if expected_version is not None and current.configuration.version != expected_version:
-            found = current.configuration.version
-            raise ConfigurationConflictError(
-                f"version {found} is in force, not version {expected_version}; nothing was written"
-            )
-        cfg = change(current.configuration)
-        faults = run_checks(cfg)
-        if has_errors(faults):
-            raise make_settings_error(faults)
-        differences = find_differences(current.configuration, cfg)
-        if not differences and current.accepted is not None:
-            return ChangeResult(current.configuration.version, (), faults)
-        successor = make_successor(current.accepted, cfg, self._make_writer())
-        await self._write(current, successor)
-        return ChangeResult(successor.version, differences, faults)
+        for attempt in range(MAX_ATTEMPTS):
+            current = await read_current(self._store)
+            _require_version(current, expected_version)
+            cfg = change(current.configuration)
+            faults = run_checks(cfg)
+            if has_errors(faults):
+                raise make_settings_error(faults)
+            differences = find_differences(current.configuration, cfg)
+            if differences or current.accepted is None:
+                successor = make_successor(current.accepted, cfg, self._make_writer())
+                await self._write(current, successor)
+                return ChangeResult(successor.version, differences, faults)
+            if await self._confirm(current):
+                return ChangeResult(current.configuration.version, (), faults)
+            await self._sleep(compute_backoff(attempt, self._rng))
+        raise StoreError("the store's reads are out of date; nothing was written")
+
+    async def _confirm(self, current: Current) -> bool:
+        """Tell whether a read was up to date, by writing the same value on its condition.
+
+        Only a conditional write is sure to meet the newest version; a read may be stale, and
+        then "nothing to change" would be false.
+        """
+        assert current.accepted is not None
+        value = encode_accepted(current.accepted)
+        try:
+            await self._store.put(CONFIGURATION_KEY, value, current.object_version)
+        except (StoreConflictError, ReplyLostError):
+            return False
+        return True
 
     async def _write(self, current: Current, successor: AcceptedConfiguration) -> None:
         value = encode_accepted(successor)
@@ -105,8 +119,12 @@
                 await self._store.put(CONFIGURATION_KEY, value, current.object_version)
                 return
             except StoreConflictError:
-                await self._resolve(current, successor, doubtful)
-                return
+                found = await self._resolve(current, successor, doubtful)
+                if found is None:
+                    return
+                # The same version under a newer object version: somebody only confirmed it.
+                current = found
+                continue
             except ReplyLostError:
                 doubtful = True
             except StoreError as exc:
@@ -114,7 +132,9 @@
             await self._sleep(compute_backoff(attempt, self._rng))
             if await self._is_written(current, successor):
                 return
-        raise StoreError(_DOUBTFUL)
+        raise StoreError(
+            _DOUBTFUL if doubtful else "the object keeps changing; nothing was written"
+        )
 
     async def _is_written(self, current: Current, successor: AcceptedConfiguration) -> bool:
         try:
@@ -122,14 +142,14 @@
         except StoreError:
             return False
         # A read at the old version may be stale: the next conditional write tells.
-        if found.object_version <= current.object_version:
+        if found.object_version <= current.object_version or _is_same(current, found):
             return False
         _judge(current, successor, found, doubtful=True)
         return True
 
     async def _resolve(
         self, current: Current, successor: AcceptedConfiguration, doubtful: bool
-    ) -> None:
+    ) -> Current | None:
         for attempt in range(MAX_ATTEMPTS):
             try:
                 found = await read_current(self._store)
@@ -138,8 +158,10 @@
                     raise _describe_failure(exc, doubtful) from exc
             else:
                 if found.object_version > current.object_version:
+                    if _is_same(current, found):
+                        return found
                     _judge(current, successor, found, doubtful)
-                    return
+                    return None
             await self._sleep(compute_backoff(attempt, self._rng))
         if doubtful:
             raise StoreError(_DOUBTFUL)
@@ -156,6 +178,18 @@
 )
 
 
+def _require_version(current: Current, expected: int | None) -> None:
+    found = current.configuration.version
+    if expected is not None and found != expected:
+        raise ConfigurationConflictError(
+            f"version {found} is in force, not version {expected}; nothing was written"
+        )
+
+
+def _is_same(current: Current, found: Current) -> bool:
+    return found.accepted is not None and found.accepted == current.accepted
+
+
 def _describe_failure(exc: StoreError, doubtful: bool) -> StoreError:
     return StoreError(f"{exc}; {_DOUBTFUL}" if doubtful else f"{exc}; nothing was written")
 
