Run the lease from the sending of the heartbeat that was answered

A paused process that wakes finds old datagrams in its queue; they renewed the lease when hearing anything counted. Answers now repeat the heartbeat they answer. Suspects and peers are named in the first answers and in one of ten, or for 3 s after a change, not in each answer.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -36,9 +36,11 @@
 WATCHERS = 2
 """Let this many balancers of a data centre hold a watch of the store."""
 PEERS_PER_ANSWER = 8
-PEERS_EVERY = 10
-"""Name peers in the first answers and then in one of this many."""
 FIRST_ANSWERS = 3
+NAMING_EVERY = 10
+"""Name peers and suspects in the first answers and then in one of this many."""
+RETELL_S = 3.0
+"""Repeat changed suspects in every answer for this time, as datagrams get lost."""
 
 
 class BalancerNode(ControlNode):
@@ -59,9 +61,9 @@
         self._versions = ReportVersions(incarnation)
         self._reports: dict[str, KeptReport] = {}
         self._suspects: dict[str, VersionedValue] = {}
+        self._told_at: dict[str, float] = {}
         self._missing: dict[str, float] = {}
         self._merged_at = float("-inf")
-        self._dirty = True
         self._live: list[str] = []
         self._ranks: dict[str, int] = {}
 
@@ -109,7 +111,7 @@
         sends: list[Send] = []
         if now - self._merged_at >= MERGE_INTERVAL_S:
             self._merge(now)
-            sends += self._tell_suspects()
+            sends += self._tell_suspects(now)
         live = [name for name in self.list_live() if self.find_peer(name) is not None]
         for outgoing in self.gossip.tick(now, live):
             sends += self._send_named(outgoing.peer, outgoing.body)
@@ -144,9 +146,14 @@
             self.book.note_heard(peer.name, now)
         announcement = Announcement(facts, body.heartbeat, message.config_version, message.epoch)
         self._write_reports(self.membership.on_announce(announcement, now))
-        bodies: list[Body] = [AnnounceAnswer(self._choose_peers(body.heartbeat))]
+        heard = self.membership.records.get(facts.name)
+        count = heard.count if heard is not None else 0
+        names_peers = count <= FIRST_ANSWERS or count % NAMING_EVERY == 0
+        peers = self._choose_peers() if names_peers else ()
+        bodies: list[Body] = [AnnounceAnswer(peers, body.heartbeat)]
         known = self._suspects.get(message.service)
-        if known is not None and known.value != b"[]":
+        is_fresh = now - self._told_at.get(message.service, float("-inf")) < RETELL_S
+        if known is not None and (is_fresh or names_peers):
             bodies += pack_values([known])
         return [self._make(peer, answer, message.service) for answer in bodies]
 
@@ -171,9 +178,7 @@
             metrics_port=body.metrics_port,
         )
 
-    def _choose_peers(self, heartbeat: int) -> tuple[Peer, ...]:
-        if heartbeat > FIRST_ANSWERS and heartbeat % PEERS_EVERY:
-            return ()
+    def _choose_peers(self) -> tuple[Peer, ...]:
         live = [peer for name in self.list_live() if (peer := self.book.find(name)) is not None]
         own = self.settings
         near = [peer for peer in live if peer.data_centre == own.data_centre]
@@ -260,7 +265,7 @@
         late = {name for name, since in self._missing.items() if now - since >= MISSING_SUSPECT_S}
         return frozenset(suspects | late)
 
-    def _tell_suspects(self) -> list[Send]:
+    def _tell_suspects(self, now: float) -> list[Send]:
         sends: list[Send] = []
         by_service = self._group_agents()
         for service, agents in by_service.items():
@@ -275,6 +280,7 @@
                 continue
             value = build_suspects(self.settings.name, service, names, self._versions.take())
             self._suspects[service] = value
+            self._told_at[service] = now
             sends += self._send_values([value], agents, service)
         return sends
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -1,6 +1,7 @@
 """Decide what every process does to keep its view current; no input or output."""
 
 import random
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
 from attrs import define, field
@@ -33,6 +34,8 @@
 SYNC_INTERVAL_S = 0.4
 """Send what a lagging peer lacks at most once in this time."""
 SYNCS_LIMIT = 4096
+SENT_LIMIT = 16
+"""Bound the heartbeats that wait for an answer."""
 
 
 @define
@@ -48,9 +51,12 @@
 class Clocks:
     """Hold when something was last done or heard."""
 
-    heard_at: float = float("-inf")
+    lease_from: float = float("-inf")
+    """Hold when the latest heartbeat that was answered had been sent."""
     announce_at: float = float("-inf")
     synced: dict[str, float] = field(factory=dict)
+    sent: OrderedDict[int, float] = field(factory=OrderedDict)
+    """Map each heartbeat that waits for an answer to its sending."""
 
 
 class ControlNode:
@@ -75,15 +81,20 @@
         self.rng = rng
         self._started_at = now
         self._clocks = Clocks()
-        self._heartbeat = 0
+        # An answer to an earlier incarnation must not pass for one to this.
+        self._heartbeat = rng.getrandbits(32)
         self._turn = 0
         self._later: list[Send] = []
 
     # What the packet loops use
 
     def hears_peers(self, now: float) -> bool:
-        """Tell whether another process was heard within the lease."""
-        return now - self._clocks.heard_at <= LEASE_S
+        """Tell whether an answer came to a heartbeat that was sent within the lease.
+
+        Answers that a paused process finds in its queue on waking belong to old heartbeats
+        and renew nothing.
+        """
+        return now - self._clocks.lease_from <= LEASE_S
 
     def is_current(self, now: float) -> bool:
         """Tell whether the configuration was compared with peers or, alone, with the store."""
@@ -91,7 +102,6 @@
 
     def handle(self, message: Message, now: float) -> list[Send] | None:
         """Return the answers to a control message; None for a message of the packet path."""
-        self._clocks.heard_at = now
         self.book.note_heard(message.sender, now)
         sends = self._dispatch(message, now)
         handled = sends is not None
@@ -133,6 +143,7 @@
             case Announce():
                 return self._on_announce(message, body, now)
             case AnnounceAnswer():
+                self._renew_lease(body.heartbeat)
                 for peer in body.peers:
                     self.book.learn(peer)
                 return []
@@ -180,16 +191,19 @@
         self._turn += 1
         target = targets[self._turn % len(targets)]
         self.book.note_asked(target.name, now)
-        sends = [self._make(target, self._describe(), self.settings.service)]
+        sends = [self._make(target, self._describe(now), self.settings.service)]
         if keepers and self.seeds and not self.book.list_heard(now, LEASE_S):
             # Nobody known answers: the seeds may.
             seed = self.rng.choice(self.seeds)
-            sends.append(self._make(seed, self._describe(), self.settings.service))
+            sends.append(self._make(seed, self._describe(now), self.settings.service))
         return sends
 
-    def _describe(self) -> Announce:
+    def _describe(self, now: float) -> Announce:
         settings = self.settings
         self._heartbeat += 1
+        self._clocks.sent[self._heartbeat] = now
+        while len(self._clocks.sent) > SENT_LIMIT:
+            self._clocks.sent.popitem(last=False)
         return Announce(
             role=settings.role.value,
             data_centre=settings.data_centre,
@@ -203,6 +217,11 @@
             load=self.own.load,
         )
 
+    def _renew_lease(self, heartbeat: int) -> None:
+        sent_at = self._clocks.sent.pop(heartbeat, None)
+        if sent_at is not None:
+            self._clocks.lease_from = max(self._clocks.lease_from, sent_at)
+
     # Versions
 
     def _sync(self, message: Message, now: float) -> list[Send]:
--- a/packages/fescueseam/src/fescueseam/membership/detector.py
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -30,6 +30,8 @@
     status: Status = Status.ALIVE
     config_version: int = 0
     epoch: int = 0
+    count: int = 1
+    """Count the heartbeats heard of this process."""
 
 
 @frozen
@@ -74,6 +76,7 @@
         events = _compare(record, announcement.facts)
         record.facts = announcement.facts
         record.heartbeat = announcement.heartbeat
+        record.count += 1
         record.config_version = announcement.config_version
         record.epoch = announcement.epoch
         record.heard_at = now
