Count completed flows and send lost plain datagrams again

A plain UDP request that met a killed balancer was lost for good and shown as broken, though such callers repeat a request where a retry does no harm. The load endpoint now counts flows of requests, not answers, so that a second request on a flow or a repeated datagram is not taken for the end of another flow.

--- a/packages/fescueseam-standins/src/fescueseam_standins/backend.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend.py
@@ -1,6 +1,7 @@
 """Stand in for a backend server: HTTP/3, plain UDP requests and a load endpoint."""
 
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Annotated
 
@@ -18,6 +19,8 @@
 
 DEFAULT_CHUNKS = 10
 DEFAULT_INTERVAL_S = 0.1
+MAX_UDP_PEERS = 10_000
+"""Bound the senders of plain UDP requests that are remembered."""
 SERVICE_HEADER = "x-service"
 BACKEND_HEADER = "x-backend"
 
@@ -31,6 +34,7 @@
         self._credentials = make_credentials(state.cfg.service)
         self._servers: list[Http3Server] = []
         self._udp_socks: list[DatagramSocket] = []
+        self._udp_peers: OrderedDict[Endpoint, None] = OrderedDict()
 
     async def start(
         self,
@@ -68,6 +72,7 @@
         """Return to a cold start, dropping every connection without a word."""
         for server in self._servers:
             server.forget_all()
+        self._udp_peers.clear()
         self.state.restart(self.clock(), make_incarnation())
 
     def is_silent(self) -> bool:
@@ -138,15 +143,15 @@
     def _track_stream_connection(self) -> ConnectionHooks:
         self.state.open_stream(self.clock())
 
-        def finish(answered: bool) -> None:
-            self.state.completed += int(answered)
+        def end() -> None:
+            self.state.close_stream(self.clock())
 
-        return ConnectionHooks(lambda: None, finish, lambda: self.state.close_stream(self.clock()))
+        return ConnectionHooks(lambda: None, lambda answered: None, end)
 
     def _track_request_connection(self) -> ConnectionHooks:
         # A slot is taken from the opening packet until the answer has been sent.
         self.state.open_request(self.clock())
-        held, running = 1, 0
+        held, running, completed = 1, 0, False
 
         def begin() -> None:
             nonlocal held, running
@@ -156,10 +161,11 @@
                 self.state.open_request(self.clock())
 
         def finish(answered: bool) -> None:
-            nonlocal held, running
+            nonlocal held, running, completed
             running -= 1
             held -= 1
-            self.state.close_request(self.clock(), answered)
+            self.state.close_request(self.clock(), answered and not completed)
+            completed = completed or answered
 
         def end() -> None:
             for _ in range(held):
@@ -192,7 +198,14 @@
             return
         cfg = self.state.cfg
         sock.send(f"{cfg.service} {cfg.name} {run_id} {count}".encode("latin-1"), peer)
-        self.state.close_request(self.clock(), True)
+        self.state.close_request(self.clock(), self._is_first_answer(peer))
+
+    def _is_first_answer(self, peer: Endpoint) -> bool:
+        first = peer not in self._udp_peers
+        self._udp_peers[peer] = None
+        if len(self._udp_peers) > MAX_UDP_PEERS:
+            self._udp_peers.popitem(last=False)
+        return first
 
 
 def build_app(server: BackendServer) -> QuartTrio:
--- a/packages/fescueseam-standins/src/fescueseam_standins/backend_state.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend_state.py
@@ -68,6 +68,7 @@
     busy: int = 0
     open_connections: int = 0
     completed: int = 0
+    """Count the flows of requests that were answered since the start."""
     draining: bool = False
     counts: BackendCounts = field(factory=BackendCounts)
     runs: Counter[str] = field(factory=Counter)
@@ -84,10 +85,10 @@
             self._fall_over(now)
         self._take_snapshot(now)
 
-    def close_request(self, now: float, answered: bool) -> None:
-        """Count the end of a request."""
+    def close_request(self, now: float, completed: bool) -> None:
+        """Count the end of a request, and of its flow where this was the flow's first answer."""
         self.busy = max(0, self.busy - 1)
-        self.completed += int(answered)
+        self.completed += int(completed)
         self._take_snapshot(now)
 
     def open_stream(self, now: float) -> None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/caller.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/caller.py
@@ -1,5 +1,6 @@
 """Stand in for a caller: send requests through the fabric and tell what became of each."""
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from enum import StrEnum
@@ -105,9 +106,13 @@
 
 
 async def request_by_udp(
-    sock: CallerSocket, target: Target, run_id: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    sock: CallerSocket,
+    target: Target,
+    run_id: str,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    retry_s: float = math.inf,
 ) -> Result:
-    """Send one plain UDP request on a flow of its own."""
+    """Send one plain UDP request on a flow of its own; repeat it where a retry does no harm."""
     started = trio.current_time()
     answers: list[bytes] = []
     refused: list[bool] = []
@@ -123,9 +128,11 @@
 
     flow = sock.open_flow(target.endpoint, FlowHooks(receive, note_prohibition))
     try:
-        flow.send(run_id.encode("latin-1"))
         with trio.move_on_after(timeout_s):
-            await arrived.wait()
+            while not arrived.is_set():
+                flow.send(run_id.encode("latin-1"))
+                with trio.move_on_after(retry_s):
+                    await arrived.wait()
     finally:
         flow.close()
     if answers:
--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/traffic.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/traffic.py
@@ -1,6 +1,7 @@
 """Send the traffic of a demonstration and keep count of what became of it."""
 
 import itertools
+import math
 from collections import Counter
 from collections.abc import AsyncIterator
 
@@ -13,7 +14,8 @@
 from ..caller_socket import CallerSocket
 from ..http3_client import CallerError, Target
 
-PAUSE_S = 0.05
+PAUSE_S = 0.25
+UDP_RETRY_S = 1.0
 REQUEST_TIMEOUT_S = 8.0
 CHUNK_INTERVAL_S = 0.1
 MAX_CHUNKS = 100_000
@@ -96,7 +98,8 @@
 
     async def _send_one(self, target: Target, service_class: ServiceClass, run_id: str) -> Result:
         if service_class.transport is Transport.UDP:
-            return await request_by_udp(self._sock, target, run_id, REQUEST_TIMEOUT_S)
+            retry_s = UDP_RETRY_S if service_class.repeatable else math.inf
+            return await request_by_udp(self._sock, target, run_id, REQUEST_TIMEOUT_S, retry_s)
         if service_class.repeatable:
             return await request(
                 self._sock, target, f"/echo?id={run_id}", timeout_s=REQUEST_TIMEOUT_S
--- a/packages/fescueseam-standins/src/fescueseam_standins/tests/test_path.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_path.py
@@ -160,6 +160,23 @@
     run_bench(scenario)
 
 
+def test_a_lost_datagram_is_sent_again_where_a_retry_does_no_harm() -> None:
+    async def scenario(bench: Bench) -> None:
+        bench.relay.deaf = True
+
+        async def mend() -> None:
+            await trio.sleep(0.1)
+            bench.relay.deaf = False
+
+        bench.nursery.start_soon(mend)
+        result = await request_by_udp(bench.caller, DATAGRAMS, "u1", retry_s=0.2)
+        assert result.outcome is Outcome.ANSWERED
+        load = bench.backend.state.describe_load(trio.current_time())
+        assert (load["busy"], load["completed"]) == (0, 1)
+
+    run_bench(scenario)
+
+
 @pytest.mark.parametrize("transport", [Transport.QUIC, Transport.UDP])
 def test_refusals_reach_the_caller(transport: Transport) -> None:
     async def scenario(bench: Bench) -> None:
