Free slots at a cold server by what cannot be out of date

Ruled out: believing every report while cold; reports may be 2 s old. Change: an answered datagram request frees its slot by itself; at a cold server a report frees a slot only if it was asked for 2 s after the flow's last packet, and none once one was found wrong.

--- a/packages/fescueseam/src/fescueseam/admission/gate.py
+++ b/packages/fescueseam/src/fescueseam/admission/gate.py
@@ -48,6 +48,8 @@
     started: float
     draining: bool = False
     """Refuse new flows; set by operators, the backend server or a shutdown."""
+    trusts_reports: bool = True
+    """Tell whether reports may free slots while the backend server warms up."""
     slot_bound: int = 0
     busy: int = 0
     connections: int = 0
@@ -69,9 +71,14 @@
         """Return to the bounds of a cold start."""
         self.slot_bound = min(self.rules.cold_slots, self.rules.slots)
         self._successes = 0
+        self.trusts_reports = True
         self._warm_since = now
         self._verified = -math.inf
 
+    def distrust_reports(self) -> None:
+        """Let no report free a slot until the backend server is warm or has restarted."""
+        self.trusts_reports = False
+
     def change_rules(self, rules: AdmissionRules, now: float) -> None:
         """Take new rules; a warm backend server stays warm, a cold one starts again."""
         if rules == self.rules:
--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -6,7 +6,7 @@
 
 from fescueseam.admission.gate import Gate, LoadReport, Verdict
 from fescueseam.claims.registry import PACKET_LIFETIME_S
-from fescueseam.conf.models import FlowKind, ServiceClass
+from fescueseam.conf.models import FlowKind, ServiceClass, Transport
 from fescueseam.effects import CloseFlow, Deliver, Drop, Effects, Measure, Observe, Probe
 from fescueseam.exceptions import ErrorKind
 from fescueseam.flows.keys import FlowKey
@@ -19,6 +19,8 @@
 """Bound the wait for the backend server's report before an opening is turned down."""
 RECONCILE_IDLE_S = 0.25
 """Free the slot of a flow that is no longer reported only if it was silent this long."""
+REPORT_LAG_S = 2.0
+"""Bound how old a report may be, in seconds; a server that is warming up rests on it."""
 ADOPT_S = 30.0
 """Adopt flows that a recorder holds this agent for the home of, this long after a start."""
 TCP_FIN = 0x01
@@ -101,7 +103,7 @@
             if self.flows.has_run(packet.flow, now):
                 return [Drop(ErrorKind.DUPLICATE_OPENING)]
             return None
-        self._note_activity(record, now)
+        self._note_activity(record, now, answered=False)
         record.finishing = record.finishing or bool(packet.tcp_flags & TCP_FIN)
         effects: Effects = [Deliver(packet.flow, record.service_class, packet)]
         if find_phase(packet, record.service_class.transport) is Phase.CLOSING:
@@ -122,7 +124,7 @@
         """Note that the backend server has answered."""
         record = self.flows.find(flow)
         if record is not None:
-            self._note_activity(record, now)
+            self._note_activity(record, now, answered=True)
 
     def close(self, flow: FlowKey, success: bool, now: float) -> Effects:
         """Close a flow and give its slot or connection back."""
@@ -158,31 +160,51 @@
 
     def expire(self, now: float) -> Effects:
         """Close flows that have been idle for too long."""
+        self._free_answered(now)
         effects: Effects = []
         for record in self.flows:
             if record.is_idle(now):
                 effects += self.close(record.key, True, now)
         return effects
 
-    def _note_activity(self, record: FlowRecord, now: float) -> None:
+    def _note_activity(self, record: FlowRecord, now: float, answered: bool) -> None:
         record.last_seen = now
+        record.answered = answered
         if not record.counted:
             record.counted = True
             self.gate.take(record.service_class.kind, now)
+            # The report that freed the slot was wrong, so no other one is believed for a while.
+            self.gate.distrust_reports()
+
+    def _free_answered(self, now: float) -> None:
+        # A datagram service has done its work once it has answered; nothing else is to come.
+        for record in self._list_requests():
+            is_done = record.answered and record.last_seen + RECONCILE_IDLE_S <= now
+            if is_done and record.service_class.transport is Transport.UDP:
+                self._free(record, now)
 
     def _reconcile(self, report: LoadReport, now: float) -> None:
-        # A report can lag and mislead. It frees a slot but ends no flow, and at a server that is
-        # warming up it frees nothing.
-        if not self.gate.is_warm():
+        # A report can lag and mislead. It frees a slot but ends no flow. At a server that is
+        # warming up it counts only if it cannot be from before the last packet of the flow.
+        warm = self.gate.is_warm()
+        if not warm and not self.gate.trusts_reports:
             return
-        counted = [record for record in self.flows if record.counted]
-        requests = [record for record in counted if record.service_class.kind is FlowKind.REQUEST]
-        streams = len(counted) - len(requests)
+        idle_s = RECONCILE_IDLE_S if warm else REPORT_LAG_S
+        requests = self._list_requests()
+        streams = sum(record.counted for record in self.flows) - len(requests)
         excess = len(requests) - max(report.busy, report.connections - streams)
-        silent = [
-            record for record in requests if record.last_seen + RECONCILE_IDLE_S <= report.requested
-        ]
+        silent = [record for record in requests if record.last_seen + idle_s <= report.requested]
         silent.sort(key=lambda record: record.last_seen)
         for record in silent[: max(0, excess)]:
-            record.counted = False
-            self.gate.give_back(FlowKind.REQUEST, True, now)
+            self._free(record, now)
+
+    def _list_requests(self) -> list[FlowRecord]:
+        return [
+            record
+            for record in self.flows
+            if record.counted and record.service_class.kind is FlowKind.REQUEST
+        ]
+
+    def _free(self, record: FlowRecord, now: float) -> None:
+        record.counted = False
+        self.gate.give_back(FlowKind.REQUEST, True, now)
--- a/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
+++ b/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
@@ -1,6 +1,7 @@
 from attrs import evolve
 
 from fescueseam.admission.gate import Gate, LoadReport, Verdict
+from fescueseam.agent.home import REPORT_LAG_S, Home
 from fescueseam.agent.tests.conftest import (
     ONCE_PORT,
     REQUEST_PORT,
@@ -9,7 +10,14 @@
     build_packet,
 )
 from fescueseam.claims.registry import PACKET_LIFETIME_S
-from fescueseam.conf.models import AdmissionRules, Configuration, DataCentreState, FlowKind
+from fescueseam.conf.models import (
+    AdmissionRules,
+    Configuration,
+    DataCentreState,
+    FlowKind,
+    ServiceClass,
+    Transport,
+)
 from fescueseam.exceptions import ErrorKind
 from fescueseam.messages import types
 from fescueseam.messages.types import Message
@@ -272,3 +280,51 @@
     cluster.advance(1.0)
     assert len(cluster.opened) == 1
     assert not cluster.refused
+
+
+def count_cold_openings(cluster: Cluster, transport: Transport, idle_s: float) -> int:
+    """Fill one cold slot, stay silent, report an idle server, and count what is admitted then."""
+    rules = AdmissionRules(slots=2, cold_slots=1)
+    gate = Gate(rules, cluster.now)
+    gate.note_report(LoadReport(1, 0, 0, cluster.now, 10.0), cluster.now)
+    home = Home(gate, cluster.now)
+    service_class = ServiceClass("request", REQUEST_PORT, transport)
+    packet = parse_packet(build_packet(REQUEST_PORT, 1))
+    home.open(packet, service_class, cluster.now)
+    later = cluster.now + idle_s
+    home.take_report(LoadReport(1, 0, 0, later, 10.0 + idle_s), later)
+    home.expire(later)
+    return rules.cold_slots - gate.busy
+
+
+def test_report_frees_a_cold_slot_only_when_it_cannot_be_too_old(cluster: Cluster) -> None:
+    assert count_cold_openings(cluster, Transport.QUIC, REPORT_LAG_S / 2) == 0
+    assert count_cold_openings(cluster, Transport.QUIC, REPORT_LAG_S) == 1
+
+
+def test_answered_datagram_request_frees_its_slot_by_itself(cluster: Cluster) -> None:
+    cluster.send(build_packet(REQUEST_PORT, 1))
+    name, flow = cluster.opened[0]
+    agent = cluster.agents[name]
+    agent.handle_answer(flow, cluster.now)
+    assert agent.home.gate.busy == 1
+    cluster.advance(0.5)
+    assert agent.home.gate.busy == 0
+    assert agent.home.flows.find(flow) is not None
+
+
+def test_report_that_was_wrong_is_believed_no_more_while_cold(cluster: Cluster) -> None:
+    gate = Gate(AdmissionRules(slots=4, cold_slots=1, warm_up_successes=9), cluster.now)
+    gate.note_report(LoadReport(1, 0, 0, cluster.now, 10.0), cluster.now)
+    home = Home(gate, cluster.now)
+    service_class = ServiceClass("request", REQUEST_PORT, Transport.QUIC)
+    packet = parse_packet(build_packet(REQUEST_PORT, 1))
+    home.open(packet, service_class, cluster.now)
+    for _ in range(2):
+        cluster.now += REPORT_LAG_S + 1.0
+        home.take_report(LoadReport(1, 0, 0, cluster.now, cluster.now), cluster.now)
+        home.touch(packet.flow, cluster.now)
+    assert gate.busy == 1
+    cluster.now += REPORT_LAG_S + 1.0
+    home.take_report(LoadReport(1, 0, 0, cluster.now, cluster.now), cluster.now)
+    assert gate.busy == 1
--- a/packages/fescueseam/src/fescueseam/flows/table.py
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -24,6 +24,8 @@
     finishing: bool = False
     counted: bool = True
     """Tell whether the flow still takes its slot or connection."""
+    answered: bool = False
+    """Tell whether the last packet seen was the backend server's."""
 
     def is_idle(self, now: float) -> bool:
         """Tell whether the flow has been silent for so long that it is taken for ended."""
