--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
@@ -8,6 +8,8 @@
 import trio
 import typer
 
+from fescueseam.exceptions import KINDS, FescueseamError
+
 from ..caller_socket import CallerSettings, CallerSocket
 from ..running import run_until_stopped
 from .operator import CommandError, Operator
@@ -72,7 +74,11 @@
     examples: Annotated[Path, typer.Option(help="folder of the examples")] = Path("examples"),
 ) -> None:
     """Start a deployment, put it through its steps and end it."""
-    plan = plan_deployment(deployment, examples.resolve())
+    try:
+        plan = plan_deployment(deployment, examples.resolve())
+    except FescueseamError as exc:
+        say(f"FAULT {exc}")
+        raise typer.Exit(KINDS[exc.kind].exit_code) from exc
     scratch = Path(tempfile.mkdtemp(prefix=f"{deployment}-"))
     launcher = Launcher(scratch)
     held: list[bool] = []
