--- a/packages/fescueseam/src/fescueseam/conf/structuring.py
+++ b/packages/fescueseam/src/fescueseam/conf/structuring.py
@@ -4,6 +4,7 @@
 import types
 from collections.abc import Callable
 from enum import StrEnum
+from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin
 
 import attrs
@@ -48,9 +49,14 @@
     return converter
 
 
+@cache
+def _get_strict_converter() -> cattrs.Converter:
+    return make_converter(strict=True)
+
+
 def structure_document(document: Document, settings_type: type[Settings]) -> Settings | None:
     """Structure a document; add every fault to it and return what could be read."""
-    converter = make_converter(strict=True)
+    converter = _get_strict_converter()
     value = _copy(document.value)
     for _ in range(MAX_REPAIRS):
         try:
