Write the operators' pages and generate the reference from the code

The errors and exit code pages and the schemas are generated by fescueseam_cli.reference; tests hold that they are current, that the settings and commands pages name every key, default, command and option, and that every link leads to a file.

--- /dev/null
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/test_reference.py
@@ -0,0 +1,74 @@
+import re
+from pathlib import Path
+
+import attrs
+import pytest
+import typer
+
+from fescueseam.conf import models
+from fescueseam.exceptions import KINDS
+from fescueseam_cli.main import app
+from fescueseam_cli.reference import EXIT_CODES, GENERATED
+
+ROOT = Path(__file__).parents[5]
+REFERENCE = ROOT / "docs" / "reference"
+SETTINGS = (
+    models.Service,
+    models.ServiceClass,
+    models.AdmissionRules,
+    models.DataCentre,
+    models.EndpointRule,
+    models.ProcessSettings,
+    models.KeySettings,
+    models.BackendSettings,
+)
+
+
+@pytest.mark.parametrize("name", GENERATED)
+def test_generated_files_are_current(name: str) -> None:
+    assert (ROOT / name).read_text() == GENERATED[name](), "run python -m fescueseam_cli.reference"
+
+
+def test_every_exit_code_is_explained() -> None:
+    assert {row.exit_code for row in KINDS.values()} <= set(EXIT_CODES)
+
+
+@pytest.mark.parametrize("settings", SETTINGS)
+def test_settings_page_has_each_key_with_its_default(settings: type) -> None:
+    page = (REFERENCE / "settings.md").read_text()
+    for item in attrs.fields(settings):
+        rows = re.findall(rf"^\| `{item.name}` \| [^|]* \| ([^|]*) \|", page, re.MULTILINE)
+        assert rows, item.name
+        if isinstance(item.default, bool):
+            assert f"`{str(item.default).lower()}`" in rows, item.name
+        elif isinstance(item.default, int | float):
+            assert f"`{item.default}`" in rows, item.name
+        elif item.default is attrs.NOTHING:
+            assert "required" in rows, item.name
+
+
+def list_options(command):
+    for param in command.params:
+        if param.param_type_name == "option":
+            yield from param.opts
+    for inner in getattr(command, "commands", {}).values():
+        yield inner.name
+        yield from list_options(inner)
+
+
+def test_commands_page_has_each_command_and_option() -> None:
+    page = (REFERENCE / "commands.md").read_text()
+    names = set(list_options(typer.main.get_command(app)))
+    assert {"drain", "--undo", "--peer"} <= names
+    missing = [name for name in names if name not in page]
+    assert set(missing) <= {"--help"}, missing
+
+
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: str(page.relative_to(ROOT)))
+def test_links_lead_to_files(page: Path) -> None:
+    for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
+        if "://" not in target:
+            assert (page.parent / target).exists(), target
