--- a/packages/fescueseam/src/fescueseam/upkeep/history.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/history.py
@@ -1,12 +1,16 @@
 """Remember recent epochs and tell whether a change keeps majorities meeting."""
 
+from functools import lru_cache
+
 from attrs import define, field, frozen
 
 from fescueseam.claims.registry import PACKET_LIFETIME_S, count_majority
-from fescueseam.routing.table import ROW_CANDIDATES, MemberState, Table, compute_row
+from fescueseam.routing.table import ROW_CANDIDATES, Member, MemberState, Table, compute_row
 
 HISTORY_LIMIT = 64
 """Bound the remembered epochs; while full, the set of members does not change."""
+ROWS_CACHE_LIMIT = 256
+"""Bound the tables whose rows are kept."""
 
 
 @frozen
@@ -20,6 +24,13 @@
     active = sum(member.state is MemberState.ACTIVE for member in table.members)
     if active <= ROW_CANDIDATES:
         return (frozenset(member.name for member in table.members),)
+    # Names and states alone decide, so that tables which differ in addresses share an entry.
+    plain = tuple(Member(member.name, "", "", 0, 0, member.state) for member in table.members)
+    return _compute_rows(Table("", 0, plain, table.buckets, table.seed, table.extras))
+
+
+@lru_cache(maxsize=ROWS_CACHE_LIMIT)
+def _compute_rows(table: Table) -> tuple[frozenset[str], ...]:
     return tuple(
         frozenset(member.name for member in compute_row(table, bucket).members)
         for bucket in range(table.buckets)
@@ -34,7 +45,11 @@
 
 def do_tables_meet(one: Table, other: Table) -> bool:
     """Tell whether majorities of each bucket's rows share a member."""
-    rows, other_rows = list_rows(one), list_rows(other)
+    return _do_rows_meet(list_rows(one), list_rows(other))
+
+
+@lru_cache(maxsize=ROWS_CACHE_LIMIT)
+def _do_rows_meet(rows: tuple[frozenset[str], ...], other_rows: tuple[frozenset[str], ...]) -> bool:
     count = max(len(rows), len(other_rows))
     return all(
         do_majorities_meet(rows[bucket % len(rows)], other_rows[bucket % len(other_rows)])
--- a/packages/fescueseam/src/fescueseam/upkeep/planner.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/planner.py
@@ -12,8 +12,8 @@
     Member,
     MemberState,
     Table,
-    compute_row,
 )
+from fescueseam.upkeep.history import list_rows
 
 MEMBERS_LIMIT = 512
 """Bound the members of one table; at the bound new ones wait."""
@@ -175,15 +175,12 @@
     active = sum(member.state is MemberState.ACTIVE for member in joined.members)
     if active <= ROW_CANDIDATES:
         return []
-    displaced = []
-    for bucket in range(table.buckets):
-        after = {member.name for member in compute_row(joined, bucket).members}
-        displaced += [
-            ExtraOwner(bucket, member.name)
-            for member in compute_row(table, bucket).members
-            if member.name not in after
-        ]
-    return displaced
+    before, after = list_rows(table), list_rows(joined)
+    return [
+        ExtraOwner(bucket, name)
+        for bucket, row in enumerate(after)
+        for name in sorted(before[bucket % len(before)] - row)
+    ]
 
 
 def _list_idle_extras(table: Table, wanted: Wanted) -> list[str]:
