Free no running request's slot by a late report, and learn the lag

Ruled out: a fixed lag of 2 s at warm servers (slots of requests whose end is hidden would rest 2 s also where reports are fresh); believing no reports (then only the idle timeout frees). Change: a report tells nothing of flows opened within its lag; the lag starts at 0.25 s, doubles with each slot freed in error up to 2 s, and decays; flows that answered long after they opened are freed first. At a warm server a request that has replied after a pause and is silent for 0.1 s is done.

--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -21,6 +21,12 @@
 """Free the slot of a flow that is no longer reported only if it was silent this long."""
 REPORT_LAG_S = 2.0
 """Bound how old a report may be, in seconds; a server that is warming up rests on it."""
+REPLY_PAUSE_S = 0.02
+"""Take an answer after at least this much silence for a reply, not for part of the handshake."""
+REPLIED_IDLE_S = 0.1
+"""Take a request at a warm server for done once it has been silent this long after a reply."""
+LAG_DECAY = 0.9995
+"""Shorten the lag that reports are taken to have by this factor at each report."""
 ADOPT_S = 30.0
 """Adopt flows that a recorder holds this agent for the home of, this long after a start."""
 TCP_FIN = 0x01
@@ -56,6 +62,8 @@
     started: float
     flows: FlowTable = field(factory=FlowTable)
     held: OrderedDict[FlowKey, Offer] = field(factory=OrderedDict)
+    _lag_s: float = RECONCILE_IDLE_S
+    """Take reports to be this late; a slot freed in error doubles it."""
     _turned_down: OrderedDict[FlowKey, TurnedDown] = field(factory=OrderedDict)
 
     def has_delivered(self, flow: FlowKey, now: float) -> bool:
@@ -168,33 +176,48 @@
         return effects
 
     def _note_activity(self, record: FlowRecord, now: float, answered: bool) -> None:
+        if answered and now >= record.last_seen + REPLY_PAUSE_S:
+            record.replied = True
         record.last_seen = now
         record.answered = answered
         if not record.counted:
             record.counted = True
+            self._lag_s = min(REPORT_LAG_S, 2 * self._lag_s)
             self.gate.take(record.service_class.kind, now)
             # The report that freed the slot was wrong, so no other one is believed for a while.
             self.gate.distrust_reports()
 
     def _free_answered(self, now: float) -> None:
-        # A datagram service has done its work once it has answered; nothing else is to come.
+        # A datagram service has done its work once it has answered; nothing else is to come. The
+        # end of other requests is hidden: one that was answered after a pause and is silent again
+        # is taken for done, but only where a wrong guess overloads no cold server.
+        warm = self.gate.is_warm()
         for record in self._list_requests():
-            is_done = record.answered and record.last_seen + RECONCILE_IDLE_S <= now
-            if is_done and record.service_class.transport is Transport.UDP:
+            if not record.answered:
+                continue
+            plain = record.service_class.transport is Transport.UDP
+            silent_s = now - record.last_seen
+            if (plain and silent_s >= RECONCILE_IDLE_S) or (
+                warm and record.replied and silent_s >= REPLIED_IDLE_S
+            ):
                 self._free(record, now)
 
     def _reconcile(self, report: LoadReport, now: float) -> None:
-        # A report can lag and mislead. It frees a slot but ends no flow. At a server that is
-        # warming up it counts only if it cannot be from before the last packet of the flow.
+        # A report can lag and mislead. It frees a slot but ends no flow. It tells nothing of a
+        # flow that opened within its lag; at a server that is warming up the lag is the longest.
         warm = self.gate.is_warm()
         if not warm and not self.gate.trusts_reports:
             return
-        idle_s = RECONCILE_IDLE_S if warm else REPORT_LAG_S
+        lag_s = self._lag_s if warm else REPORT_LAG_S
+        self._lag_s = max(RECONCILE_IDLE_S, self._lag_s * LAG_DECAY)
         requests = self._list_requests()
         streams = sum(record.counted for record in self.flows) - len(requests)
-        excess = len(requests) - max(report.busy, report.connections - streams)
-        silent = [record for record in requests if record.last_seen + idle_s <= report.requested]
-        silent.sort(key=lambda record: record.last_seen)
+        idle_s = RECONCILE_IDLE_S if warm else REPORT_LAG_S
+        known = [record for record in requests if record.opened + lag_s <= report.requested]
+        silent = [record for record in known if record.last_seen + idle_s <= report.requested]
+        excess = len(known) - max(report.busy, report.connections - streams)
+        # A finished request has answered long after it opened, a running one has not.
+        silent.sort(key=lambda record: record.opened - record.last_seen)
         for record in silent[: max(0, excess)]:
             self._free(record, now)
 
--- a/packages/fescueseam/src/fescueseam/flows/table.py
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -26,6 +26,8 @@
     """Tell whether the flow still takes its slot or connection."""
     answered: bool = False
     """Tell whether the last packet seen was the backend server's."""
+    replied: bool = False
+    """Tell whether the backend server has answered after a pause."""
 
     def is_idle(self, now: float) -> bool:
         """Tell whether the flow has been silent for so long that it is taken for ended."""
