Check a process against its deployment, and refuse bad places by kind

check takes a folder and process files together and reports an unknown data centre, region or service. Bad addresses and store URLs are settings errors with exit code 2; before, any ValueError was shown as a usage error, which would have hidden faults of our own.

--- a/packages/fescueseam-cli/src/fescueseam_cli/explain.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/explain.py
@@ -5,8 +5,9 @@
 
 from attrs import frozen
 
+from fescueseam.checks.values import MAX_PORT
 from fescueseam.conf.models import Configuration, Transport
-from fescueseam.exceptions import ErrorKind, PacketError
+from fescueseam.exceptions import ErrorKind, PacketError, SettingsError
 from fescueseam.flows.keys import PROTOCOL_TCP, PROTOCOL_UDP, FlowKey, compute_bucket
 from fescueseam.routing.table import Member, Table
 from fescueseam.routing.view import View
@@ -56,9 +57,13 @@
 def parse_endpoint(text: str) -> Endpoint:
     """Return the end of a flow at "address:port"."""
     address, _, port = text.rpartition(":")
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= 65535:
-        raise ValueError(f"{text!r} is not address:port")
-    return Endpoint(ipaddress.ip_address(address.strip("[]")).packed, int(port))
+    try:
+        endpoint = Endpoint(ipaddress.ip_address(address.strip("[]")).packed, int(port))
+    except ValueError as exc:
+        raise SettingsError(f"{text!r} is not address:port") from exc
+    if not 0 < endpoint.port <= MAX_PORT:
+        raise SettingsError(f"{port} is not a port")
+    return endpoint
 
 
 def find_service_name(cfg: Configuration, destination: Endpoint) -> str:
--- a/packages/fescueseam-cli/src/fescueseam_cli/file_commands.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/file_commands.py
@@ -4,10 +4,12 @@
 from typing import Annotated
 
 import typer
+from attrs import evolve
 
 from fescueseam.checks.faults import Fault, has_errors
+from fescueseam.checks.references import check_references
 from fescueseam.conf.differences import render_value
-from fescueseam.conf.documents import iterate_leaves
+from fescueseam.conf.documents import iterate_leaves, load_document
 from fescueseam.conf.loading import (
     encode_configuration,
     load_process_settings,
@@ -51,13 +53,13 @@
     process: ProcessOption = None,
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
-    """List every fault of a deployment's files, or of one process's settings."""
-    if (folder is None) == (not process):
-        raise typer.BadParameter("name either a folder or files with --process")
+    """List every fault of a deployment's files, of one process's settings, or of both."""
+    if folder is None and not process:
+        raise typer.BadParameter("name a folder, or files with --process, or both")
     session = start_session(ctx, output)
 
     def list_faults() -> None:
-        faults = read_deployment(folder).faults if folder else _find_process_faults(process or [])
+        faults = _find_faults(folder, process or [])
         print_faults(session, faults)
         if has_errors(faults):
             raise typer.Exit(KINDS[ErrorKind.INVALID_SETTINGS].exit_code)
@@ -89,13 +91,23 @@
         printer.print_table(headings, rows)
 
 
-def _find_process_faults(paths: list[Path]) -> tuple[Fault, ...]:
-    files = [read_file(path) for path in paths]
+def _find_faults(folder: Path | None, process: list[Path]) -> tuple[Fault, ...]:
+    loaded = read_deployment(folder) if folder else None
+    faults = loaded.faults if loaded else ()
+    if not process:
+        return faults
+    files = [read_file(path) for path in process]
     try:
-        load_process_settings(files[0], files[1:])
+        settings = load_process_settings(files[0], files[1:])
     except SettingsError as exc:
-        return exc.faults
-    return ()
+        return faults + exc.faults
+    if loaded is None or loaded.configuration is None:
+        return faults
+    document = load_document(files)
+    return faults + tuple(
+        evolve(fault, file=document.find_file(fault.path))
+        for fault in check_references(settings, loaded.configuration)
+    )
 
 
 def _show(session: Session, folder: Path, site: str) -> None:
--- a/packages/fescueseam-cli/src/fescueseam_cli/options.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/options.py
@@ -12,6 +12,8 @@
 import typer
 from attrs import frozen
 
+from fescueseam.checks.values import check_url
+from fescueseam.conf.loading import make_settings_error
 from fescueseam.exceptions import KINDS, FescueseamError, SettingsError, StoreError
 
 from .changes import ConfigurationChanger
@@ -50,6 +52,9 @@
         """Open the store; raise StoreError where none is named."""
         if not self.store_url:
             raise SettingsError("no store is named: use --store URL or FESCUESEAM_STORE")
+        faults = tuple(check_url("--store", self.store_url))
+        if faults:
+            raise make_settings_error(faults)
         async with self.open_client(self.store_url) as client:
             yield HttpStore(client)
 
@@ -92,5 +97,3 @@
             hint = "'fescueseam status --peer ADDRESS:PORT' works without the store"
             print(f"hint: {hint}", file=sys.stderr)
         raise typer.Exit(KINDS[exc.kind].exit_code) from exc
-    except ValueError as exc:
-        raise typer.BadParameter(str(exc)) from exc
--- a/packages/fescueseam-cli/src/fescueseam_cli/peers.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/peers.py
@@ -8,7 +8,7 @@
 import trio
 from attrs import evolve, field, frozen
 
-from fescueseam.exceptions import StoreError
+from fescueseam.exceptions import SettingsError, StoreError
 from fescueseam.upkeep.store import Store
 
 MEMBERS_PREFIX = "members/"
@@ -61,7 +61,7 @@
     """Return the peer at "address:port"."""
     address, _, port = place.rpartition(":")
     if not address or not port.isascii() or not port.isdigit():
-        raise ValueError(f"{place!r} is not address:port")
+        raise SettingsError(f"{place!r} is not address:port")
     return Peer(address.strip("[]"), int(port))
 
 
--- a/packages/fescueseam-cli/src/fescueseam_cli/store.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/store.py
@@ -4,7 +4,7 @@
 
 import httpx
 
-from fescueseam.exceptions import StoreConflictError, StoreError
+from fescueseam.exceptions import SettingsError, StoreConflictError, StoreError
 from fescueseam.upkeep.store import StoreChanges, StoredObject
 
 WATCH_MARGIN_S = 5.0
@@ -42,6 +42,8 @@
         if response.status_code == httpx.codes.PRECONDITION_FAILED:
             current = _read_body(response).get("version")
             raise StoreConflictError(f"{key} is at version {current}, not at {expected_version}")
+        if response.status_code == httpx.codes.REQUEST_ENTITY_TOO_LARGE:
+            raise SettingsError(f"{key} exceeds the store's limit on a value; nothing was written")
         return int(_read_body(response)["version"])
 
     async def watch(self, prefix: str, after: int, timeout_s: float) -> StoreChanges:
--- a/packages/fescueseam-cli/src/fescueseam_cli/tests/conftest.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/conftest.py
@@ -34,6 +34,7 @@
     """Answer this many reads after the next write with what was there before it."""
     away: str = ""
     down_calls: int = 0
+    limit_bytes: int = 1_000_000
     previous: dict[str, tuple[int, object]] = field(factory=dict)
     calls: list[str] = field(factory=list)
     statuses: dict[str, object] = field(factory=dict)
@@ -65,6 +66,8 @@
     def _answer_put(self, request: httpx.Request) -> httpx.Response:
         if self.before_put:
             self.before_put.pop(0)(self)
+        if len(request.content) > self.limit_bytes:
+            return httpx.Response(413, json={"limit": self.limit_bytes})
         if self.lose_requests:
             self.lose_requests -= 1
             raise httpx.ReadError("connection reset")
--- a/packages/fescueseam-cli/src/fescueseam_cli/tests/test_changes.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/test_changes.py
@@ -192,6 +192,19 @@
     assert len(store.calls) == 3
 
 
+def test_store_is_named_by_a_url(run, folder, store) -> None:
+    result = run("apply", folder, "--store", "127.0.0.1:7400")
+    assert (result.exit_code, "is not an HTTP URL" in result.stderr) == (2, True)
+    assert not store.calls
+
+
+def test_value_beyond_the_stores_limit_is_refused(run, folder, store) -> None:
+    store.limit_bytes = 100
+    result = run("apply", folder)
+    assert (result.exit_code, "limit" in result.stderr) == (2, True)
+    assert not store.objects
+
+
 def test_no_store_named(run, folder) -> None:
     result = run("apply", folder, store_url="")
     assert result.exit_code == 2
--- a/packages/fescueseam-cli/src/fescueseam_cli/tests/test_files.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/test_files.py
@@ -58,6 +58,20 @@
     assert run("check").exit_code == 2
 
 
+def test_check_of_process_settings_against_a_deployment(run, folder, tmp_path, snapshot) -> None:
+    files = [folder / "processes" / f"{name}.json" for name in ("base", "agent")]
+    options = [word for path in files for word in ("--process", path)]
+    assert run("check", folder, *options).output == "no faults\n"
+    overlay = tmp_path / "overlay.json"
+    overlay.write_text('{"data_centre": "sol", "service": "katalok"}')
+    result = run("check", folder, *options, "--process", overlay, "--output", "json")
+    faults = json.loads(result.output)["faults"]
+    assert {fault.pop("file") for fault in faults} == {str(overlay)}
+    assert (result.exit_code, faults) == (2, snapshot)
+    overlay.write_text('{"region": "jawa"}')
+    assert "is not in region" in run("check", folder, *options, "--process", overlay).output
+
+
 def test_settings_show_names_the_file_of_each_value(run, folder, snapshot) -> None:
     assert run("settings", "show", folder, "--site", "magelang").output == snapshot
     plain = run("settings", "show", folder, "--site", "magelang", "--output", "json")
