Measure the system, three baselines and an ideal pool on the same work

Cause: the stated targets need figures that anybody can repeat. Ruled out: generators of load over sockets, which cannot offer two variants the same work.

--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system and its baselines on the same seeded work."""
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_measure.py
@@ -0,0 +1,52 @@
+"""Test that the measures run, print valid lines and judge by the stated targets."""
+
+import json
+import os
+
+import pytest
+
+from fescueseam_standins.measure import jobs
+from fescueseam_standins.measure.__main__ import list_jobs
+from fescueseam_standins.measure.ideal import choose_least_used, run_pool
+from fescueseam_standins.measure.results import Measure, make_result, render_result
+from fescueseam_standins.measure.variants import FESCUESEAM, HASHING
+from fescueseam_standins.measure.work import Arrival
+
+SEED = int(os.environ.get("SEED", "1"))
+KEYS = {"measure", "variant", "deployment", "seed", "value", "unit", "target", "met"}
+
+
+@pytest.mark.parametrize(
+    "kind", [jobs.FORWARDING, jobs.BALANCE, jobs.IDEALS, jobs.CHANGES, jobs.DEPARTURE, jobs.ONCE]
+)
+def test_quick_measure_prints_valid_lines(kind):
+    results = jobs.run_job(jobs.Job(kind, FESCUESEAM, "ribera-norte", SEED, jobs.QUICK))
+    assert results
+    for result in results:
+        line = json.loads(render_result(result))
+        assert set(line) == KEYS
+        assert line["met"] is None or line["met"] == (line["value"] <= line["target"])
+
+
+def test_baseline_breaks_what_the_system_keeps():
+    broken = {}
+    for variant in (FESCUESEAM, HASHING):
+        job = jobs.Job(jobs.CHANGES, variant, "ribera-norte", SEED, jobs.QUICK)
+        broken[variant] = jobs.run_job(job)[0].value
+    assert broken[FESCUESEAM] == 0
+    assert broken[HASHING] > 0
+
+
+def test_every_job_can_be_run():
+    assert {job.kind for job in list_jobs(SEED, jobs.QUICK)} <= set(jobs._KINDS)
+
+
+def test_pool_refuses_exactly_what_waits_too_long():
+    arrivals = [Arrival(1.0, 1.0), Arrival(1.1, 1.0), Arrival(1.9, 1.0)]
+    outcome = run_pool([1.0], 1, 0.5, arrivals, choose_least_used)
+    assert (outcome.offered, outcome.refused) == (3, 1)
+
+
+def test_missed_target_is_printed_as_missed():
+    line = render_result(make_result(Measure.IMBALANCE, FESCUESEAM, "x", SEED, 1.06, "ratio"))
+    assert json.loads(line)["met"] is False
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/variants.py
@@ -0,0 +1,122 @@
+"""Name the variants that are measured and make a world of each."""
+
+from collections import Counter
+from collections.abc import Callable
+
+import xxhash
+from attrs import define, evolve, field
+
+from fescueseam.conf.models import AdmissionRules
+from fescueseam.effects import Refuse
+from fescueseam.packets.adapter import parse_packet
+
+from ..world.cores import make_entry, make_home
+from ..world.deployments import DEPLOYMENTS, SPEEDS, Deployment, ServerPlan, set_speeds
+from ..world.hosts import EntryHost
+from ..world.life import Life
+from ..world.network import CALLERS, Place
+from ..world.world import World
+from .baselines import Baseline, make_connection_table, make_hashing, make_two_choices
+
+FESCUESEAM = "fescueseam"
+HASHING = "consistent-hashing"
+TABLE = "connection-table"
+TWO_CHOICES = "two-choices"
+
+_BASELINES: dict[str, Callable[[], Baseline]] = {
+    HASHING: make_hashing,
+    TABLE: make_connection_table,
+    TWO_CHOICES: make_two_choices,
+}
+VARIANTS = (FESCUESEAM, *_BASELINES)
+
+WIDE_MIX = "wide-mix"
+WIDE_SPEEDS = (1.0, 4.0, 1.2, 3.4, 1.5, 2.8, 1.9, 2.3, 1.1, 3.7, 1.0, 4.0)
+WIDE_SLOTS = 4
+WIDE_SERVICE = "katalog"
+REPORT_LAG_S = 2.0
+FREE_SHARE = 0.1
+
+
+@define(eq=False)
+class MeasuredWorld(World):
+    """Run a deployment and note how much was free at each refusal."""
+
+    keeps_flows_at_balancers: bool = False
+    """Let the fabric hand a flow's packets to one balancer while the balancers stand."""
+    free_at_refusal: Counter[str] = field(factory=Counter)
+    """Count the refusals of each service that came while a tenth of its slots was free."""
+    refusals: Counter[str] = field(factory=Counter)
+    measured_from: float = 0.0
+
+    def refuse(self, source: Place, effect: Refuse) -> None:
+        """Count the refusal and pass it on."""
+        service = self._name_service(effect)
+        if self.timeline.now >= self.measured_from:
+            self.refusals[service] += 1
+            self.free_at_refusal[service] += self.measure_free_share(service) >= FREE_SHARE
+        super().refuse(source, effect)
+
+    def measure_free_share(self, service: str) -> float:
+        """Return the share of a service's slots that is free now."""
+        servers = [item for item in self.backends.values() if item.service == service]
+        slots = sum(server.rules.slots for server in servers)
+        return 1 - sum(server.busy for server in servers) / slots
+
+    def spray(self, raw: bytes) -> None:
+        """Hand a caller's packet to a balancer."""
+        if not self.keeps_flows_at_balancers:
+            super().spray(raw)
+            return
+        packed = parse_packet(raw).flow.packed()
+
+        def rank(host: EntryHost) -> int:
+            return xxhash.xxh3_64_intdigest(packed + host.name.encode())
+
+        hosts = [host for host in self.entries.values() if host.life is not Life.DEAD]
+        if hosts:
+            host = max(hosts, key=rank)
+            self.network.send(
+                CALLERS, host.place, lambda: host.receive(lambda: host.take_packet(raw))
+            )
+
+    def _name_service(self, effect: Refuse) -> str:
+        address = effect.packet.flow.destination
+        view = next(iter(self.agents.values())).view
+        service = view.find_service(address)
+        return service.name if service is not None else ""
+
+
+def make_deployment(name: str) -> Deployment:
+    """Return a deployment with speeds that differ fourfold."""
+    if name != WIDE_MIX:
+        return set_speeds(DEPLOYMENTS[name](), SPEEDS)
+    base = DEPLOYMENTS["lintang"]()
+    service = next(item for item in base.configuration.services if item.name == WIDE_SERVICE)
+    centres = base.configuration.data_centres
+    servers = tuple(
+        ServerPlan(f"{service.name}-{number + 1}", service.name, centres[number % 3].name, speed)
+        for number, speed in enumerate(WIDE_SPEEDS)
+    )
+    service = evolve(service, admission=AdmissionRules(slots=WIDE_SLOTS))
+    cfg = evolve(base.configuration, services=(service,))
+    return evolve(base, name=WIDE_MIX, configuration=cfg, servers=servers)
+
+
+DEPLOYMENT_NAMES = (*DEPLOYMENTS, WIDE_MIX)
+
+
+def make_world(variant: str, deployment: Deployment, seed: int, warm: bool = True) -> MeasuredWorld:
+    """Make a world that runs a variant; start is the caller's."""
+    if variant == FESCUESEAM:
+        return MeasuredWorld(deployment, seed, make_entry, make_home, warm=warm)
+    cores = _BASELINES[variant]()
+    return MeasuredWorld(
+        deployment,
+        seed,
+        cores.make_entry,
+        cores.make_home,
+        warm=warm,
+        # A table in each balancer is of use only if the fabric keeps flows at their balancer.
+        keeps_flows_at_balancers=variant in (TABLE, TWO_CHOICES),
+    )
