--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -221,11 +221,23 @@
         mine = kept.keeper == self.settings.name
         if mine and value.version < self.incarnation and facts.name not in self.membership.records:
             # An earlier incarnation of this keeper wrote it and knows nothing any more.
-            self.gossip.put(
-                VersionedValue(
-                    value.key, self._versions.take(), b"", self.settings.name, deleted=True
-                )
-            )
+            self._withdraw(value.key)
+
+    def _withdraw(self, key: str) -> None:
+        own = self.settings.name
+        self.gossip.put(VersionedValue(key, self._versions.take(), b"", own, deleted=True))
+
+    def _withdraw_moved(self) -> None:
+        # A process that chose other keepers is silent here, and that proves nothing.
+        for name, record in list(self.membership.records.items()):
+            sighting = self.sightings.get(name)
+            if record.status is not Status.DEAD or sighting is None:
+                continue
+            if sighting.status is Status.ALIVE:
+                del self.membership.records[name]
+                settings = self.settings
+                key = build_report_key(settings.data_centre, settings.name, record.facts)
+                self._withdraw(key)
 
     def _merge(self, now: float) -> None:
         self._merged_at = now
@@ -238,6 +250,7 @@
             if peer is not None and (known is None or known.status is not Status.ALIVE):
                 self.sightings[name] = Sighting(_to_facts(peer), Status.ALIVE, 1)
         self._note_live()
+        self._withdraw_moved()
         self.view.set_suspects(self._find_suspects(now))
 
     def _note_live(self) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -29,7 +29,7 @@
 LEASE_S = 2.0
 """Deliver nothing once no other process was heard for this time."""
 ANNOUNCE_PERIOD_S = 1.0
-"""Announce to each keeper once in this time; keepers take turns within it."""
+"""Announce to each keeper once in this time."""
 KEEPERS = 2
 SYNC_INTERVAL_S = 0.4
 """Send what a lagging peer lacks at most once in this time."""
@@ -53,7 +53,8 @@
 
     lease_from: float = float("-inf")
     """Hold when the latest heartbeat that was answered had been sent."""
-    announce_at: float = float("-inf")
+    announce_at: dict[Peer, float] = field(factory=dict)
+    """Map each keeper to the time of the next announcement to it."""
     synced: dict[str, float] = field(factory=dict)
     sent: OrderedDict[int, float] = field(factory=OrderedDict)
     """Map each heartbeat that waits for an answer to its sending."""
@@ -83,7 +84,6 @@
         self._clocks = Clocks()
         # An answer to an earlier incarnation must not pass for one to this.
         self._heartbeat = rng.getrandbits(32)
-        self._turn = 0
         self._later: list[Send] = []
 
     # What the packet loops use
@@ -181,22 +181,21 @@
     # Announcements
 
     def _announce(self, now: float) -> list[Send]:
-        if now < self._clocks.announce_at:
-            return []
         keepers = self._list_keepers(now)
-        targets = keepers or self.seeds
-        if not targets:
-            return []
-        self._clocks.announce_at = now + ANNOUNCE_PERIOD_S / len(targets)
-        self._turn += 1
-        target = targets[self._turn % len(targets)]
-        self.book.note_asked(target.name, now)
-        sends = [self._make(target, self._describe(now), self.settings.service)]
-        if keepers and self.seeds and not self.book.list_heard(now, LEASE_S):
+        if not keepers or (self.seeds and not self.book.list_heard(now, LEASE_S)):
             # Nobody known answers: the seeds may.
-            seed = self.rng.choice(self.seeds)
-            sends.append(self._make(seed, self._describe(now), self.settings.service))
-        return sends
+            keepers = [*keepers, *self.seeds]
+        known = self._clocks.announce_at
+        # Each keeper has its own rhythm, so that no change of keepers makes a gap at another.
+        self._clocks.announce_at = {peer: known.get(peer, now) for peer in keepers}
+        due = [peer for peer, due_at in self._clocks.announce_at.items() if now >= due_at]
+        return [self._announce_to(peer, peer not in known, now) for peer in due]
+
+    def _announce_to(self, keeper: Peer, is_new: bool, now: float) -> Send:
+        shift = self.rng.uniform(0.5, 1.0) if is_new else 1.0
+        self._clocks.announce_at[keeper] = now + shift * ANNOUNCE_PERIOD_S
+        self.book.note_asked(keeper.name, now)
+        return self._make(keeper, self._describe(now), self.settings.service)
 
     def _describe(self, now: float) -> Announce:
         settings = self.settings
