Tell recorders of every slot that comes free until their wait is over

Cause: a home forgot a recorder once it had told it of one free slot, so further openings waiting at that recorder never heard of the next ones; work was refused while a tenth of the slots was free. Ruled out: telling at each tick while there is room (floods under load). Change: waiters are kept until their wait ends and are told when the number of free slots has grown.

--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -41,6 +41,9 @@
     home: Home = field(init=False)
     claims: ClaimRegistry = field(init=False)
     _waiters: dict[str, float] = field(factory=dict)
+    """Hold until when each recorder that was turned down wants to hear of free slots."""
+    _known_room: int = 0
+    """Count the free slots that waiting recorders know of."""
     _last_event: float = field(init=False)
     _woke: float = float("-inf")
     _was_out: bool = False
@@ -186,10 +189,12 @@
         verdict = self.home.judge(offer, now)
         if verdict is Verdict.ADMIT:
             effects = self.home.open(offer.packet, offer.service_class, now)
+            self._known_room -= 1
             return effects + self._tell_placed(offer, now)
         if verdict is Verdict.VERIFY:
             return self.home.hold(offer)
         self._waiters[offer.recorder] = now + offer.service_class.wait_s
+        self._known_room = 0
         # What the agent cannot see, the end of a QUIC flow, the backend server may report.
         stale = self.home.gate.is_stale(now)
         return self._tell_full(offer, now) + ([Probe()] if stale else [])
@@ -251,14 +256,17 @@
         return self._tell(offer.recorder, body, offer.service_class)
 
     def _tell_waiters(self, now: float) -> Effects:
+        # A recorder may have more openings waiting than it was turned down for since it was last
+        # told, so it is told of every slot that comes free until its wait is over.
         load = self.home.gate.describe_load(now)
-        if not self._waiters or load.busy >= load.slots:
+        room = load.slots - load.busy
+        grown, self._known_room = room > max(0, self._known_room), room
+        if not grown or not self._waiters:
             return []
+        self._waiters = {name: end for name, end in self._waiters.items() if end > now}
         effects: Effects = []
-        for name, expires in self._waiters.items():
-            if expires > now:
-                effects += self._tell(name, types.Free(load), None)
-        self._waiters.clear()
+        for name in self._waiters:
+            effects += self._tell(name, types.Free(load), None)
         return effects
 
     # Data centre, lease and pauses
