Answer no deletion that both peers hold with the same deletion

Cause: a deleted key at the version in force counted as obsolete, and its replacement was the same deletion; two peers in agreement sent it to and fro without end. Change: a deletion of a key that is not held is not answered. Before: test_gossip_echo failed (the exchange went on); after: it passes.

--- a/packages/fescueseam/src/fescueseam/versions/gossip.py
+++ b/packages/fescueseam/src/fescueseam/versions/gossip.py
@@ -204,6 +204,9 @@
     def _replacement(self, value: VersionedValue) -> VersionedValue:
         version = self.configuration.version
         known = self.values.get(value.key)
+        if known is None and value.deleted:
+            # Both agree that the key is gone; an answer would be answered without end.
+            return VersionedValue(value.key, 0, b"")
         if known is None:
             return VersionedValue(value.key, version, b"", value.writer, deleted=True)
         if known.value == value.value or value.version >= version:
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/versions/tests/test_gossip_echo.py
@@ -0,0 +1,25 @@
+"""Test that two processes that agree fall silent."""
+
+import random
+
+from attrs import evolve
+from fescueseam.conf.models import Configuration, EndpointRule
+from fescueseam.versions.gossip import Gossip
+from fescueseam.versions.pages import pack_values
+from fescueseam.versions.values import VersionedMap
+
+EXCHANGES_LIMIT = 10
+
+
+def test_peers_that_hold_the_same_deletion_do_not_echo_it():
+    drained = Configuration(version=1, endpoints=(EndpointRule("bitacora-1", drain=True),))
+    one, other = (Gossip(VersionedMap(), random.Random(seed), 0.0) for seed in (1, 2))
+    for gossip in (one, other):
+        gossip.put_configuration(drained, "operator")
+        gossip.put_configuration(evolve(drained, version=2, endpoints=()), "operator")
+    pending = pack_values(one.take_hot())
+    receiver, sender = other, one
+    for _ in range(EXCHANGES_LIMIT):
+        pending = [answer for body in pending for answer in receiver.on_values(body)]
+        receiver, sender = sender, receiver
+    assert pending == []
