Repeat lost answers and suspect silent agents in the world

Cause: a transport repeats answers and the detector suspects silence; without both, runs lost answers and flows that the real system keeps.

--- a/packages/fescueseam-standins/src/fescueseam_standins/world/callers.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/callers.py
@@ -101,6 +101,11 @@
         opened = call.accepted >= 0
         call.end(Outcome.BROKEN if opened else Outcome.REFUSED, self.world.timeline.now)
 
+    def build_opening(self, call: Call) -> bytes:
+        """Return the opening packet of a call, as it was sent."""
+        transport = call.service_class.transport
+        return build_packet(call.flow, transport, call.call_id, Step.OPENING)
+
     def _take_reset(self, call: Call, now: float) -> None:
         call.end(Outcome.BROKEN if call.accepted >= 0 else Outcome.SILENT, now)
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
@@ -12,6 +12,7 @@
 from fescueseam.routing.view import View
 
 from .backend import Answer, AnswerKind, Backend
+from .calls import Outcome
 from .control import Control
 from .cores import EntryCore, HomeCore
 from .life import Life
@@ -28,6 +29,8 @@
 """Reach the load endpoint, or return from it, in this time."""
 SOCKET_QUARANTINE_S = 10.0
 """Keep a closed local socket from reuse for this long, so that late answers die."""
+ANSWER_REPEAT_S = 0.3
+ANSWER_REPEATS = 60
 
 
 @define(eq=False)
@@ -122,6 +125,8 @@
     """Run a balancer on an entry instance."""
 
     core: EntryCore = field(kw_only=True)
+    leaving: bool = False
+    """Tell that the fabric sends no more packets here."""
 
     def take_packet(self, raw: bytes) -> None:
         """Take a caller's packet from the fabric."""
@@ -183,6 +188,10 @@
         requested = self.world.timeline.now
         self.world.timeline.after(PROBE_DELAY_S, lambda: self._answer_probe(requested))
 
+    def count_flows(self) -> int:
+        """Return how many flows have a local socket."""
+        return len(self._by_flow)
+
     def end_flow(self, flow: FlowKey, success: bool) -> None:
         """Tell the core that a flow has ended."""
         self.apply(self.core.handle_closed(flow, success, self.world.timeline.now))
@@ -227,11 +236,23 @@
             self.stray_answers += 1
             return
         self.core.handle_answer(flow, self.world.timeline.now)
-        self.world.carry_answer(self.place, flow, answer)
+        self._carry_answer(flow, answer, 0)
         ended = answer.kind in (AnswerKind.WHOLE, AnswerKind.RESET)
         if ended and self.world.ends_seen:
             self.end_flow(flow, answer.kind is AnswerKind.WHOLE)
 
+    def _carry_answer(self, flow: FlowKey, answer: Answer, repeats: int) -> None:
+        self.world.carry_answer(self.place, flow, answer)
+        if answer.kind is not AnswerKind.WHOLE or repeats >= ANSWER_REPEATS:
+            return
+
+        def repeat() -> None:
+            # The transport of the backend server repeats what its caller has not acknowledged.
+            if self.world.calls[answer.call_id].outcome is Outcome.OPEN and self.backend.alive:
+                self.receive(lambda: self._carry_answer(flow, answer, repeats + 1))
+
+        self.world.timeline.after(ANSWER_REPEAT_S, repeat)
+
     def _find_socket(self, flow: FlowKey) -> LocalSocket:
         socket = self._by_flow.get(flow)
         if socket is not None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
@@ -97,3 +97,8 @@
             and second in (target.name, target.data_centre, ANYWHERE)
             for first, second in self._cuts
         )
+
+    def is_shut_off(self, place: Place) -> bool:
+        """Tell whether a cut on an instance or its data centre stands at the moment."""
+        names = (place.name, place.data_centre, ANYWHERE)
+        return any(first in names or second in names for first, second in self._cuts)
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -32,6 +32,7 @@
 from .network import CALLERS, Network, Place
 from .payloads import Stamp, read_stamp
 from .store import Store
+from .suspicion import Suspicion
 from .timeline import Timeline
 from .traffic import Arrivals
 
@@ -68,6 +69,7 @@
     callers: Callers = field(init=False)
     store: Store = field(init=False)
     history: TableHistory = field(init=False)
+    suspicion: Suspicion = field(init=False)
     calls: dict[int, Call] = field(factory=dict)
     journal: Journal = field(factory=Journal)
     entries: dict[str, EntryHost] = field(factory=dict)
@@ -91,9 +93,12 @@
         self.store = Store(self.timeline, self.network, random.Random(self.seed + 2))
         self.store.write(self.cfg)
         self.history = TableHistory(since=-PACKET_LIFETIME_S)
+        self.suspicion = Suspicion(self)
 
     def start(self) -> None:
         """Start every process, with the same table and configuration in all views."""
+        if self.gossips:
+            self.suspicion.start()
         members: dict[str, list[Member]] = {service.name: [] for service in self.cfg.services}
         for plan in self.deployment.servers:
             member = self._make_member(plan.name, plan.data_centre)
@@ -192,7 +197,7 @@
             accept(self.store, self.network, list(self.entries.values()), accepted)
             return
         for host in self.list_hosts():
-            self._give(host, lambda view: view.set_configuration(accepted), spread_s)
+            self.give(host, lambda view: view.set_configuration(accepted), spread_s)
 
     def publish_table(self, table: Table, spread_s: float = 0.0) -> None:
         """Publish the next epoch of a table; each process has it after its own delay."""
@@ -202,7 +207,7 @@
         fresh = evolve(table, epoch=known.epoch + 1)
         self.tables[table.service] = fresh
         for host in self.list_hosts():
-            self._give(host, lambda view: view.set_table(fresh), spread_s)
+            self.give(host, lambda view: view.set_table(fresh), spread_s)
 
     def set_data_centre(self, name: str, state: DataCentreState, spread_s: float = 0.0) -> None:
         """Take a data centre out or bring it back."""
@@ -270,11 +275,6 @@
             spread_s,
         )
 
-    def set_suspects(self, names: frozenset[str], spread_s: float = 0.0) -> None:
-        """Let every process suspect these members and no others."""
-        for host in self.list_hosts():
-            self._give(host, lambda view: view.set_suspects(names), spread_s)
-
     # Traffic
 
     def open_call(self, service: str, class_name: str, size_s: float) -> Call:
@@ -296,11 +296,19 @@
 
     def spray(self, raw: bytes) -> None:
         """Hand a caller's packet to any living balancer, as the fabric does."""
-        hosts = [host for host in self.entries.values() if host.life is not Life.DEAD]
+        hosts = [
+            host
+            for host in self.entries.values()
+            if host.life is not Life.DEAD and not host.leaving
+        ]
         if not hosts:
             return
         choose = self.spray_choice
         host = choose(hosts) if choose is not None else hosts[int(self.rng.random() * len(hosts))]
+        self.send_to_entry(host, raw)
+
+    def send_to_entry(self, host: EntryHost, raw: bytes) -> None:
+        """Hand a caller's packet to one balancer."""
         self.network.send(CALLERS, host.place, lambda: host.receive(lambda: host.take_packet(raw)))
 
     def run_until(self, end: float) -> None:
@@ -401,7 +409,9 @@
     def _take(self, host: Host, effect: Send) -> None:
         host.receive(lambda: host.take_message(effect.message))
 
-    def _give(self, host: Host, change: Callable[[View], object], spread_s: float) -> None:
+    def give(self, host: Host, change: Callable[[View], object], spread_s: float) -> None:
+        """Change the view of a process after a delay."""
+
         def take() -> None:
             change(host.view)
             if isinstance(host, AgentHost):
