--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
@@ -24,7 +24,10 @@
     def __init__(self, url: str, registry: CollectorRegistry) -> None:
         """Prepare the client; nothing is sent before the first call."""
         self._client = httpx.AsyncClient(
-            base_url=url, timeout=CALL_TIMEOUT_S, limits=httpx.Limits(max_connections=CALLS_LIMIT)
+            base_url=url,
+            timeout=CALL_TIMEOUT_S,
+            limits=httpx.Limits(max_connections=CALLS_LIMIT),
+            trust_env=False,
         )
         self._calls = Counter(
             "fescueseam_store_calls_total",
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/capacity/tests/test_control_processes.py
@@ -0,0 +1,166 @@
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+import httpx
+import pytest
+
+from fescueseam.conf.accepted import AcceptedConfiguration, encode_accepted
+from fescueseam.conf.models import Configuration, DataCentre, Service, ServiceClass
+from fescueseam_standins.demo.plan import ProcessPlan
+from fescueseam_standins.demo.processes import Launcher
+
+SUBNET = "127.77.5"
+STORE = f"http://{SUBNET}.1:7000"
+PROCESSES = {
+    "b0": ("balancer", "solo", 2),
+    "b1": ("balancer", "semarang", 3),
+    "katalog-0": ("agent", "solo", 4),
+    "katalog-1": ("agent", "semarang", 5),
+    "katalog-2": ("agent", "solo", 6),
+}
+STARTED_S = 60.0
+IN_FORCE_S = 6.0
+SUSPECTED_S = 3.0
+
+
+def make_configuration(version, address="10.77.0.1"):
+    return Configuration(
+        version=version,
+        services=(Service("katalog", address, (ServiceClass("listing", 443),)),),
+        data_centres=tuple(DataCentre(name, "jawa-tengah") for name in ("semarang", "solo")),
+    )
+
+
+def write_settings(path, name, role, place, host):
+    settings = {
+        "name": name,
+        "data_centre": place,
+        "region": "jawa-tengah",
+        "address": f"{SUBNET}.{host}",
+        "control_port": 7010,
+        "metrics_port": 7020,
+        "store_url": STORE,
+        "keys": [{"key_id": 1, "secret": "a long secret of this test, and of this test only"}],
+        "role": role,
+        "fabric_address": f"{SUBNET}.9",
+    }
+    if role == "agent":
+        load = f"http://{SUBNET}.{host}:7030/load"
+        settings |= {
+            "service": "katalog",
+            "backend": {"address": f"{SUBNET}.{host}", "load_url": load},
+        }
+    path.write_text(json.dumps(settings))
+
+
+@pytest.fixture
+def launcher(tmp_path):
+    launcher = Launcher(tmp_path)
+    platform = (sys.executable, "-m", "fescueseam_standins.platform")
+    launcher.start(
+        ProcessPlan("platform", (*platform, "--address", f"{SUBNET}.1", "--port", "7000"), "")
+    )
+    program = str(Path(sys.executable).with_name("fescueseamd"))
+    for name, (role, place, host) in PROCESSES.items():
+        path = tmp_path / f"{name}.json"
+        write_settings(path, name, role, place, host)
+        launcher.start(ProcessPlan(name, (program, role, "--base", str(path)), ""))
+    yield launcher
+    for process in launcher.processes.values():
+        if process.is_running():
+            process.popen.send_signal(signal.SIGCONT)
+            process.popen.kill()
+            process.popen.wait()
+
+
+@pytest.fixture
+def client():
+    with httpx.Client(timeout=2.0, trust_env=False) as client:
+        yield client
+
+
+def fetch_status(client, name):
+    host = PROCESSES[name][2]
+    return client.get(f"http://{SUBNET}.{host}:7020/status").json()
+
+
+def wait_until(check, seconds):
+    """Return how long it took until the check holds."""
+    started = time.monotonic()
+    while True:
+        try:
+            if check():
+                return time.monotonic() - started
+        except httpx.HTTPError:
+            pass
+        assert time.monotonic() - started < seconds, f"not within {seconds} s"
+        time.sleep(0.1)
+
+
+def write(client, cfg, version):
+    body = encode_accepted(AcceptedConfiguration(f"op-{cfg.version}", cfg))
+    headers = {"If-Match": f'"{version}"'}
+    reply = client.put(f"{STORE}/objects/config", json=body, headers=headers)
+    assert reply.status_code == 200
+    return reply.json()["version"]
+
+
+def set_outage(client, is_down):
+    assert client.post(f"{STORE}/faults", json={"outage": is_down}).status_code == 200
+
+
+def test_control_holds_while_real_processes_are_frozen_killed_and_cut_from_the_store(
+    launcher, client
+):
+    wait_until(lambda: client.get(f"{STORE}/calls").status_code == 200, STARTED_S)
+    version = write(client, make_configuration(1), 0)
+    wait_until(
+        lambda: all("katalog" in fetch_status(client, n)["tables"] for n in PROCESSES), STARTED_S
+    )
+    wait_until(lambda: all(fetch_status(client, n)["hears_peers"] for n in PROCESSES), STARTED_S)
+
+    # A change, and the store fails right after.
+    write(client, make_configuration(2, "10.77.0.2"), version)
+    wait_until(
+        lambda: any(fetch_status(client, n)["config_version"] == 2 for n in ("b0", "b1")),
+        IN_FORCE_S,
+    )
+    set_outage(client, True)
+    wait_until(
+        lambda: all(fetch_status(client, n)["config_version"] == 2 for n in PROCESSES), IN_FORCE_S
+    )
+
+    # A frozen agent is suspected and recovers, without the store.
+    frozen = launcher.processes["katalog-0"].popen.pid
+    os.kill(frozen, signal.SIGSTOP)
+    wait_until(
+        lambda: all(fetch_status(client, n)["suspects"] == ["katalog-0"] for n in ("b0", "b1")),
+        SUSPECTED_S,
+    )
+    os.kill(frozen, signal.SIGCONT)
+    wait_until(
+        lambda: all(fetch_status(client, n)["suspects"] == [] for n in ("b0", "b1")), SUSPECTED_S
+    )
+
+    # A balancer dies; the other one renews the lease of every agent, which alone deliver.
+    os.kill(launcher.processes["b0"].popen.pid, signal.SIGKILL)
+    agents = [name for name, (role, *_) in PROCESSES.items() if role == "agent"]
+    for _ in range(15):
+        time.sleep(0.2)
+        assert [fetch_status(client, name)["hears_peers"] for name in agents] == [True] * 3
+    assert fetch_status(client, "b1")["suspects"] == []
+
+    # The store returns: a dead agent leaves the table and nothing storms.
+    os.kill(launcher.processes["katalog-2"].popen.pid, signal.SIGKILL)
+    wait_until(lambda: fetch_status(client, "b1")["suspects"] == ["katalog-2"], SUSPECTED_S)
+    calls = client.get(f"{STORE}/calls").json()
+    epoch = fetch_status(client, "b1")["tables"]["katalog"]
+    set_outage(client, False)
+    wait_until(lambda: fetch_status(client, "b1")["tables"]["katalog"] > epoch, 40.0)
+    after = client.get(f"{STORE}/calls").json()
+    assert after["writes"] - calls["writes"] <= 4
+    assert fetch_status(client, "b1")["config_version"] == 2
