--- a/packages/fescueseam/src/fescueseam/versions/tests/test_gossip_echo.py
+++ b/packages/fescueseam/src/fescueseam/versions/tests/test_gossip_echo.py
@@ -3,6 +3,7 @@
 import random
 
 from attrs import evolve
+
 from fescueseam.conf.models import Configuration, EndpointRule
 from fescueseam.versions.gossip import Gossip
 from fescueseam.versions.pages import pack_values
