Offer the opening that has waited longest first

Cause: an opening that was offered in vain went to the end of the recorder's queue, behind younger ones, and one that was being offered elsewhere did not hear of a slot that came free meanwhile. Change: waiting openings are offered by age; a free slot reaches openings in the middle of their offers.

--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -117,9 +117,15 @@
         """Offer waiting openings to a member that has room again."""
         self._note_load(sender, load, now)
         self.loads[sender].full_until = 0.0
+        for opening in self.openings.values():
+            # An opening that is being offered elsewhere may come back to this member.
+            if now < opening.started + opening.service_class.wait_s:
+                opening.turned_down.discard(sender)
         effects: Effects = []
         room = max(1, load.slots - load.busy)
-        for opening in list(self.waiting.values())[:room]:
+        # The oldest first; one that was offered in vain stands behind younger ones in the dictionary.
+        waiting = sorted(self.waiting.values(), key=lambda opening: opening.started)
+        for opening in waiting[:room]:
             member = self._find_candidate(opening, sender)
             if member is not None:
                 del self.waiting[opening.flow]
