--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
@@ -8,6 +8,7 @@
 import trio
 import typer
 
+from fescueseam.claims.registry import PACKET_LIFETIME_S
 from fescueseam.exceptions import KINDS, FescueseamError
 
 from ..caller_socket import CallerSettings, CallerSocket
@@ -46,6 +47,10 @@
     say(await Operator(plan).apply(plan.folder))
     await launcher.wait_ready([process.name for process in daemons])
     say("every process is ready")
+    # An agent grants no claim until packets from before its start are dead, so until then nothing
+    # of a class that may not be repeated is placed.
+    say(f"waiting {PACKET_LIFETIME_S:.0f} s until agents grant claims")
+    await trio.sleep(PACKET_LIFETIME_S)
 
 
 async def demonstrate(plan: DeploymentPlan, launcher: Launcher, scratch: Path) -> bool:
--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/plan.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/plan.py
@@ -232,6 +232,7 @@
         "control_port": CONTROL_PORT,
         "metrics_port": METRICS_PORT,
         "store_url": plan.store_url,
+        "seeds": [f"{item.address}:{CONTROL_PORT}" for item in plan.balancers if item.name != name],
         "fabric_address": plan.fabric_address,
         "fabric_port": RETURN_PORT,
         "drain_timeout_s": DRAIN_TIMEOUT_S,
