--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Read scenarios, run them on virtual time and check every promise."""
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/models.py
@@ -0,0 +1,95 @@
+"""Hold a parsed scenario."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Verb(StrEnum):
+    """List everything that can happen in a scenario."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    CUT = "cut"
+    CUT_BOTH = "cut_both"
+    REPLACE = "replace"
+    RESTART_AGENT = "restart_agent"
+    COOL = "cool"
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+    SHUT_DOWN = "shut_down"
+    TAKE_OUT = "take_out"
+    BRING_BACK = "bring_back"
+    ADD = "add"
+    ADD_AT = "add_at"
+    LEAVE = "leave"
+    REJOIN = "rejoin"
+    REMOVE = "remove"
+    SUSPECT = "suspect"
+    MISREPORT = "misreport"
+    ACCEPT = "accept"
+    STORE_DOWN = "store_down"
+    STORE_SLOW = "store_slow"
+    STORE_STALE = "store_stale"
+    NETWORK = "network"
+    CROSS = "cross"
+    REUSE_PORT = "reuse_port"
+
+
+@frozen
+class Action:
+    """Hold one thing that happens: its verb, names and numbers, durations in seconds."""
+
+    verb: Verb
+    names: tuple[str, ...] = ()
+    numbers: tuple[float, ...] = ()
+
+
+@frozen
+class Step:
+    """Hold an action and when it happens."""
+
+    time: float
+    action: Action
+
+
+@frozen
+class Traffic:
+    """Describe the calls of one class."""
+
+    class_name: str
+    service: str
+    rate: float
+    lasting_s: float
+    start: float
+    end: float
+
+
+class Demand(StrEnum):
+    """List what a scenario may demand beside the promises."""
+
+    ANSWER = "answer"
+    REFUSE = "refuse"
+
+
+@frozen
+class Must:
+    """Hold one demand on the calls of a class."""
+
+    demand: Demand
+    class_name: str
+    share: float = 0.0
+
+
+@frozen
+class Scenario:
+    """Hold a whole scenario."""
+
+    name: str
+    deployment: str
+    run_for_s: float
+    speeds: tuple[float, ...] = ()
+    views_late_s: float = 0.0
+    traffics: tuple[Traffic, ...] = ()
+    steps: tuple[Step, ...] = ()
+    musts: tuple[Must, ...] = ()
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/control.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/control.py
@@ -21,6 +21,8 @@
 
 LEASE_S = 2.0
 """Deliver nothing once no other process was heard for this time."""
+ASK_INTERVAL_S = 0.3
+"""Ask a random peer this often, to keep the lease."""
 SYNC_INTERVAL_S = 0.4
 """Send what a lagging peer lacks at most once in this time."""
 WRITER = "operators"
@@ -33,10 +35,20 @@
 
     host: "Host"
     gossip: Gossip
+    answered: float = 0.0
+    """Tell when the latest question that was answered had been sent."""
     _synced: dict[str, float] = field(factory=dict)
+    _asked: dict[str, float] = field(factory=dict)
+    _ask_at: float = 0.0
+
+    def is_leased(self, now: float) -> bool:
+        """Tell whether a question of the last seconds was answered; old datagrams do not count."""
+        return now - self.answered <= LEASE_S
 
     def take_message(self, message: Message, now: float) -> bool:
         """Take a message; return whether it was for the control plane alone."""
+        if isinstance(message.body, GossipDigest) and message.body.reply:
+            self.answered = max(self.answered, self._asked.pop(message.sender, 0.0))
         answers = self._dispatch(message.body)
         for body in answers or ():
             self._send(message.sender, body)
@@ -55,7 +67,11 @@
         peers = self.host.world.list_peers(self.host)
         for outgoing in self.gossip.tick(now, peers):
             self._send(outgoing.peer, outgoing.body)
-        self.host.view.leased = now - self.host.heard <= LEASE_S
+        if now >= self._ask_at and peers:
+            self._ask_at = now + ASK_INTERVAL_S
+            peer = self.host.world.rng.choice(peers)
+            self._asked[peer] = now
+            self._send(peer, self.gossip.digest())
 
     def _dispatch(self, body: Body) -> list[Body] | None:
         if isinstance(body, GossipDigest):
@@ -99,7 +115,7 @@
     gossip.put_configuration(cfg, WRITER)
     gossip.take_hot()
     gossip.changed = []
-    return Control(host, gossip)
+    return Control(host, gossip, answered=now)
 
 
 def accept(store: Store, network: Network, entries: Sequence["Host"], cfg: Configuration) -> None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/hosts.py
@@ -80,6 +80,7 @@
     def run_tick(self) -> bool:
         """Advance the core's timers; return whether the process still lives."""
         if self.life is Life.RUNNING:
+            self.follow_lease()
             if self.control is not None:
                 self.control.tick(self.world.timeline.now)
             self.tick()
@@ -89,6 +90,7 @@
         """Take a message of another process."""
         now = self.world.timeline.now
         self.heard = now
+        self.follow_lease()
         if self.control is None or not self.control.take_message(message, now):
             self.apply(self.handle_message(message, now))
 
@@ -96,6 +98,11 @@
         """Return what the core makes of a message."""
         raise NotImplementedError
 
+    def follow_lease(self) -> None:
+        """Tell the view whether the lease of this process still runs."""
+        if self.control is not None:
+            self.view.leased = self.control.is_leased(self.world.timeline.now)
+
     def follow_configuration(self) -> None:
         """Follow a configuration that has come into force here."""
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -199,6 +199,22 @@
         for host in self.list_hosts():
             self.give(host, lambda view: view.set_configuration(accepted), spread_s)
 
+    def change_configuration(
+        self,
+        change: Callable[[Configuration], Configuration],
+        order: Order | None = None,
+        spread_s: float = 0.0,
+    ) -> None:
+        """Let operators have a change accepted; they try again while the store is down."""
+        if self.gossips and not self.store.up:
+            self.timeline.after(
+                CHANGE_RETRY_S, lambda: self.change_configuration(change, order, spread_s)
+            )
+            return
+        if order is not None:
+            self.note(order.verb, order.subject)
+        self.publish_configuration(change(self.cfg), spread_s)
+
     def publish_table(self, table: Table, spread_s: float = 0.0) -> None:
         """Publish the next epoch of a table; each process has it after its own delay."""
         known = self.tables[table.service]
@@ -211,19 +227,26 @@
 
     def set_data_centre(self, name: str, state: DataCentreState, spread_s: float = 0.0) -> None:
         """Take a data centre out or bring it back."""
-        centres = tuple(
-            evolve(item, state=state) if item.name == name else item
-            for item in self.cfg.data_centres
-        )
-        self.note(state.value, name)
-        self.publish_configuration(evolve(self.cfg, data_centres=centres), spread_s)
+
+        def change(cfg: Configuration) -> Configuration:
+            centres = tuple(
+                evolve(item, state=state) if item.name == name else item
+                for item in cfg.data_centres
+            )
+            return evolve(cfg, data_centres=centres)
+
+        self.change_configuration(change, Order(0.0, state.value, name), spread_s)
 
     def drain_server(self, name: str, drain: bool = True, spread_s: float = 0.0) -> None:
         """Drain a backend server by the operators' rule, or take that back."""
-        rules = [rule for rule in self.cfg.endpoints if rule.name != name]
-        rules += [EndpointRule(name, True)] if drain else []
-        self.note("drain" if drain else "undrain", name)
-        self.publish_configuration(evolve(self.cfg, endpoints=tuple(rules)), spread_s)
+
+        def change(cfg: Configuration) -> Configuration:
+            rules = [rule for rule in cfg.endpoints if rule.name != name]
+            rules += [EndpointRule(name, True)] if drain else []
+            return evolve(cfg, endpoints=tuple(rules))
+
+        order = Order(0.0, "drain" if drain else "undrain", name)
+        self.change_configuration(change, order, spread_s)
 
     def change_members(
         self,
