Keep a turned-down offer turned down, whatever comes after it

Cause: a home kept only the last offer that it turned down for a flow. Ruled out: the claims, whose grants all named one recorder. Change: an offer that is refused by memory prolongs the memory and does not replace it.

--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fescueseam.admission.gate import Gate, LoadReport, Verdict
 from fescueseam.claims.registry import PACKET_LIFETIME_S
@@ -93,9 +93,12 @@
 
     def turn_down(self, offer: Offer, now: float) -> None:
         """Remember that an offer was turned down, so that a late copy of it is too."""
-        entry = TurnedDown(
-            offer.recorder, offer.incarnation, offer.attempt, now + PACKET_LIFETIME_S
-        )
+        expires = now + PACKET_LIFETIME_S
+        entry = TurnedDown(offer.recorder, offer.incarnation, offer.attempt, expires)
+        if self.is_refusing(offer, now):
+            # What was turned down first stands: neither a late copy of an earlier attempt nor
+            # another recorder's offer may make room for a copy of it.
+            entry = evolve(self._turned_down[offer.packet.flow], expires=expires)
         self._turned_down[offer.packet.flow] = entry
         self._turned_down.move_to_end(offer.packet.flow)
         while len(self._turned_down) > TURNED_DOWN_LIMIT:
