Kill, freeze and cut real processes, and let agents start without the store

Cause: an agent restarted during a store outage never put the configuration into force: only a digest or the store made it current, and agents exchange no digests. Its status page told the gossip's version, so it looked well while it dropped every packet as of another service. Change: a keeper's answer that names the same version in force makes an agent current; the status page tells the version in force in the packet path; six tests on a deployment of 9 processes and 8 stand-ins.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -79,14 +79,13 @@
     def describe_status(self) -> dict[str, object]:
         """Return the part of the status page on control."""
         settings = self.node.settings
-        cfg = self.node.gossip.configuration
         return {
             "name": settings.name,
             "role": settings.role.value,
             "data_centre": settings.data_centre,
             "region": settings.region,
             "incarnation": self.node.incarnation,
-            "config_version": cfg.version,
+            "config_version": self.view.cfg.version,
             "is_current": self.is_current(),
             "hears_peers": self.hears_peers(time.monotonic()),
             "tables": {table.service: table.epoch for table in self.view.list_tables()},
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_processes.py
@@ -0,0 +1,313 @@
+"""Kill, freeze and cut real processes of a small deployment."""
+
+import json
+import os
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+import trio
+from attrs import define, evolve
+
+from fescueseam_standins.caller import Outcome, Result, open_stream, request, request_by_udp
+from fescueseam_standins.caller_socket import CallerSettings, CallerSocket
+from fescueseam_standins.demo.operator import Operator
+from fescueseam_standins.demo.plan import (
+    CALLERS_PORT,
+    CONTROL_PORT,
+    METRICS_PORT,
+    PACKET_PORT,
+    DeploymentPlan,
+    EndpointPlan,
+    plan_agent,
+    plan_backend,
+    plan_balancer,
+    plan_deployment,
+    plan_fabric,
+    plan_platform,
+)
+from fescueseam_standins.demo.processes import Launcher
+from fescueseam_standins.http3_client import Target
+
+EXAMPLES = Path(__file__).resolve().parents[5] / "examples"
+SUBNET = "127.60.0"
+SERVICE_ADDRESS = "10.50.0.10"
+PRICES = Target((SERVICE_ADDRESS, 5683), "katalog")
+RESERVATIONS = Target((SERVICE_ADDRESS, 8443), "katalog")
+LISTINGS = Target((SERVICE_ADDRESS, 443), "katalog")
+UNBOUND_STORE = "http://127.60.0.99:9"
+
+IN_FORCE_S = 6.0
+"""Bound the time until an accepted configuration is in force everywhere, in seconds."""
+LAST_PACKET_S = 3.0
+"""Bound the time until the last packet into a data centre that was taken out, in seconds."""
+CLAIMS_READY_S = 11.0
+"""Wait until members that have just started grant claims, in seconds."""
+
+
+@define
+class Deployment:
+    """Hold a running deployment of one service in three data centres."""
+
+    plan: DeploymentPlan
+    launcher: Launcher
+    scratch: Path
+
+    def start_balancer(self, index: int, cut_from_store: bool = False) -> str:
+        plan = self.plan
+        if cut_from_store:
+            path = self.scratch / "cut.json"
+            path.write_text(json.dumps({"store_url": UNBOUND_STORE}))
+        process = plan_balancer(plan, plan.balancers[index], self.scratch)
+        if cut_from_store:
+            process = evolve(process, command=(*process.command, "--overlay", str(path)))
+        self.launcher.start(process)
+        return process.name
+
+    def start_agent(self, index: int) -> str:
+        process = plan_agent(self.plan, self.plan.endpoints[index], self.scratch)
+        self.launcher.start(process)
+        return process.name
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        os.kill(self.launcher.processes[name].popen.pid, number)
+
+
+@define
+class Session:
+    """Hold what one test talks through."""
+
+    deployment: Deployment
+    sock: CallerSocket
+    client: httpx.AsyncClient
+    operator: Operator
+
+    @property
+    def plan(self) -> DeploymentPlan:
+        return self.deployment.plan
+
+    async def set_faults(self, **faults: object) -> None:
+        url = f"{self.plan.store_url}/faults"
+        # A test that ran out of time must not leave its faults to the next one.
+        with trio.CancelScope(shield=True):
+            (await self.client.post(url, json=faults)).raise_for_status()
+
+    async def read_status(self, address: str) -> dict[str, object]:
+        answer = await self.client.get(f"http://{address}:{METRICS_PORT}/status")
+        status: dict[str, object] = answer.json()
+        return status
+
+    async def count_received(self, endpoints: list[EndpointPlan]) -> int:
+        total = 0
+        for endpoint in endpoints:
+            total += (await self.client.get(f"{endpoint.url}/runs")).json()["counts"]["received"]
+        return total
+
+    async def ask_prices(self, count: int, prefix: str) -> list[Result]:
+        results = []
+        for number in range(count):
+            run_id = f"{prefix}-{number}"
+            results.append(await request_by_udp(self.sock, PRICES, run_id, 4.0, 0.5))
+        return results
+
+    def list_addresses(self) -> list[str]:
+        parts = (*self.plan.balancers, *self.plan.endpoints)
+        return [part.address for part in parts]
+
+    async def wait_for_version(self, version: int, addresses: list[str]) -> None:
+        waiting = set(addresses)
+        while waiting:
+            for address in list(waiting):
+                status = await self.read_status(address)
+                if status["config_version"] == version:
+                    waiting.discard(address)
+            await trio.sleep(0.05)
+
+
+def plan_small() -> DeploymentPlan:
+    plan = plan_deployment("lintang", EXAMPLES)
+    endpoints = [item for item in plan.endpoints if item.service == "katalog"][:6]
+    moved = tuple(
+        evolve(item, address=f"{SUBNET}.{21 + index}") for index, item in enumerate(endpoints)
+    )
+    balancers = tuple(
+        evolve(item, address=f"{SUBNET}.{11 + index}") for index, item in enumerate(plan.balancers)
+    )
+    return evolve(plan, subnet=SUBNET, balancers=balancers, endpoints=moved)
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    scratch = tmp_path_factory.mktemp("processes")
+    made = Deployment(plan_small(), Launcher(scratch), scratch)
+    try:
+        trio.run(start_deployment, made)
+        yield made
+    finally:
+        trio.run(made.launcher.close)
+
+
+async def start_deployment(made: Deployment) -> None:
+    plan, launcher = made.plan, made.launcher
+    standins = [plan_platform(plan), plan_fabric(plan)]
+    standins += [plan_backend(plan, endpoint) for endpoint in plan.endpoints]
+    for process in standins:
+        launcher.start(process)
+    await launcher.wait_ready([process.name for process in standins])
+    names = [made.start_balancer(0), made.start_balancer(1), made.start_balancer(2, True)]
+    names += [made.start_agent(index) for index in range(len(plan.endpoints))]
+    await Operator(plan).apply(plan.folder)
+    await launcher.wait_ready(names)
+    await trio.sleep(CLAIMS_READY_S)
+
+
+def run_session(
+    deployment: Deployment, work: Callable[[Session], Awaitable[None]], limit_s: float = 60.0
+) -> None:
+    async def main() -> None:
+        plan = deployment.plan
+        sock = CallerSocket(
+            CallerSettings((plan.fabric_address, CALLERS_PORT), bind_address=plan.caller_address)
+        )
+        with trio.fail_after(limit_s):
+            async with (
+                httpx.AsyncClient(timeout=5.0, trust_env=False) as client,
+                trio.open_nursery() as nursery,
+            ):
+                await sock.start(nursery)
+                await work(Session(deployment, sock, client, Operator(plan)))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def count(results: list[Result], outcome: Outcome) -> int:
+    return sum(result.outcome is outcome for result in results)
+
+
+def test_stream_outlives_a_killed_balancer(deployment: Deployment) -> None:
+    async def work(session: Session) -> None:
+        plan = session.plan
+        path = "/stream?interval_s=0.05&count=100"
+        async with open_stream(session.sock, LISTINGS, path) as stream:
+            chunks = stream.reader.read_chunks()
+            body = await anext(chunks)
+            deployment.launcher.kill(plan.balancers[0].name)
+            left = [f"{item.address}:{PACKET_PORT}" for item in plan.balancers[1:]]
+            url = f"{plan.fabric_url}/balancers"
+            (await session.client.post(url, json={"balancers": left})).raise_for_status()
+            body += b"".join([chunk async for chunk in chunks])
+        assert body.decode().split() == [str(number) for number in range(100)]
+        name = deployment.start_balancer(0)
+        await deployment.launcher.wait_ready([name])
+        every = [f"{item.address}:{PACKET_PORT}" for item in plan.balancers]
+        (await session.client.post(url, json={"balancers": every})).raise_for_status()
+
+    run_session(deployment, work)
+
+
+def test_frozen_agent_that_wakes_runs_nothing_twice(deployment: Deployment) -> None:
+    async def work(session: Session) -> None:
+        frozen = session.plan.endpoints[0].name
+        results: list[Result] = []
+
+        async def record(number: int) -> None:
+            path = f"/record?id=frozen-{number}"
+            results.append(await request(session.sock, RESERVATIONS, path, "POST", 8.0))
+
+        deployment.signal(frozen, signal.SIGSTOP)
+        try:
+            async with trio.open_nursery() as nursery:
+                for number in range(12):
+                    nursery.start_soon(record, number)
+                    await trio.sleep(0.25)
+                deployment.signal(frozen, signal.SIGCONT)
+        finally:
+            deployment.signal(frozen, signal.SIGCONT)
+        runs: dict[str, int] = {}
+        for endpoint in session.plan.endpoints:
+            answer = (await session.client.get(f"{endpoint.url}/runs")).json()
+            for run_id, number in answer["runs"].items():
+                runs[run_id] = runs.get(run_id, 0) + number
+        assert all(number == 1 for number in runs.values())
+        assert count(results, Outcome.ANSWERED) > 0
+        await trio.sleep(3.0)
+        later = await session.ask_prices(5, "after-freeze")
+        assert count(later, Outcome.BROKEN) == 0
+
+    run_session(deployment, work)
+
+
+def test_work_goes_on_while_the_store_is_down(deployment: Deployment) -> None:
+    async def work(session: Session) -> None:
+        await session.set_faults(outage=True)
+        try:
+            before = await session.ask_prices(5, "outage")
+            deployment.launcher.kill(session.plan.endpoints[1].name)
+            name = deployment.start_agent(1)
+            await deployment.launcher.wait_ready([name])
+            after = await session.ask_prices(5, "outage-later")
+        finally:
+            await session.set_faults(outage=False)
+        assert count(before + after, Outcome.BROKEN) == 0
+        assert count(before + after, Outcome.ANSWERED) > 0
+
+    run_session(deployment, work)
+
+
+def test_change_is_in_force_everywhere_although_the_store_fails_at_once(
+    deployment: Deployment,
+) -> None:
+    async def work(session: Session) -> None:
+        addresses = session.list_addresses()
+        known = int(str((await session.read_status(addresses[0]))["config_version"]))
+        await session.operator.drain(session.plan.endpoints[2].name)
+        await session.set_faults(outage=True)
+        try:
+            with trio.fail_after(IN_FORCE_S):
+                await session.wait_for_version(known + 1, addresses)
+        finally:
+            await session.set_faults(outage=False)
+
+    run_session(deployment, work)
+
+
+def test_last_packet_into_a_data_centre_that_is_out(deployment: Deployment) -> None:
+    async def work(session: Session) -> None:
+        centre = session.plan.endpoints[0].data_centre
+        inside = [item for item in session.plan.endpoints if item.data_centre == centre]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.ask_prices, 1000, "press")
+            await session.operator.move_data_centre(centre, "out")
+            await trio.sleep(LAST_PACKET_S)
+            before = await session.count_received(inside)
+            await trio.sleep(2.0)
+            after = await session.count_received(inside)
+            nursery.cancel_scope.cancel()
+        assert after == before
+        await session.operator.move_data_centre(centre, "in")
+        await trio.sleep(3.0)
+        assert count(await session.ask_prices(10, "back"), Outcome.BROKEN) == 0
+
+    run_session(deployment, work)
+
+
+def test_garbage_ends_no_process(deployment: Deployment) -> None:
+    async def work(session: Session) -> None:
+        balancer = session.plan.balancers[0].address
+        agent = session.plan.endpoints[0].address
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for size in (0, 1, 19, 20, 28, 200, 9001, 60000):
+                for target in ((balancer, PACKET_PORT), (balancer, CONTROL_PORT)):
+                    sock.sendto(b"\x45" * size, target)
+                sock.sendto(b"\x00" * size, (agent, CONTROL_PORT))
+        await trio.sleep(0.5)
+        for address in (balancer, agent):
+            page = (await session.client.get(f"http://{address}:{METRICS_PORT}/metrics")).text
+            assert "fescueseam_dropped_total{" in page
+        assert count(await session.ask_prices(5, "garbage"), Outcome.BROKEN) == 0
+
+    run_session(deployment, work)
--- a/packages/fescueseam/src/fescueseam/versions/gossip.py
+++ b/packages/fescueseam/src/fescueseam/versions/gossip.py
@@ -83,6 +83,11 @@
         """Record that the store answered a read of the configuration."""
         self._store_answered = True
 
+    def note_peer_version(self, config_version: int) -> None:
+        """Record which configuration a keeper has in force; the same one confirms what is held."""
+        if config_version > 0 and config_version == self.configuration.version:
+            self._agreed_peers += 1
+
     def put(self, value: VersionedValue) -> bool:
         """Take a value of this process or of the store and push it on."""
         if not self._take(value):
--- a/packages/fescueseam/src/fescueseam/versions/tests/test_gossip.py
+++ b/packages/fescueseam/src/fescueseam/versions/tests/test_gossip.py
@@ -135,6 +135,17 @@
     assert cut.configuration.version == 1
 
 
+def test_an_agent_is_current_once_a_keeper_has_the_same_version_in_force(cfg, rng):
+    node = Gossip(VersionedMap(), rng, 0.0, config_only=True)
+    node.note_peer_version(0)
+    assert not node.is_current(100.0)
+    node.put_configuration(cfg, "op")
+    node.note_peer_version(cfg.version + 1)
+    assert not node.is_current(100.0)
+    node.note_peer_version(cfg.version)
+    assert node.is_current(100.0)
+
+
 def test_large_values_travel_in_pages_that_come_in_any_order(rng):
     value = VersionedValue("tables/large", 4, rng.randbytes(20_000), "w")
     pages = [page for message in pack_values([value]) for page in message.values]
