Answer a repeated plain datagram without running it again

Ruled out: filtering in the agent, which cannot tell a duplicate from a second datagram. Change: the stand-in answers a repeated datagram of the same sender from memory, as servers of such protocols do, and always gives the slot back.

--- a/packages/fescueseam-standins/src/fescueseam_standins/backend.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/backend.py
@@ -19,8 +19,8 @@
 
 DEFAULT_CHUNKS = 10
 DEFAULT_INTERVAL_S = 0.1
-MAX_UDP_PEERS = 10_000
-"""Bound the senders of plain UDP requests that are remembered."""
+MAX_DATAGRAMS = 10_000
+"""Bound the plain UDP requests whose answers are remembered."""
 SERVICE_HEADER = "x-service"
 BACKEND_HEADER = "x-backend"
 
@@ -34,7 +34,7 @@
         self._credentials = make_credentials(state.cfg.service)
         self._servers: list[Http3Server] = []
         self._udp_socks: list[DatagramSocket] = []
-        self._udp_peers: OrderedDict[Endpoint, None] = OrderedDict()
+        self._datagrams: OrderedDict[tuple[Endpoint, bytes], bytes] = OrderedDict()
 
     async def start(
         self,
@@ -72,7 +72,7 @@
         """Return to a cold start, dropping every connection without a word."""
         for server in self._servers:
             server.forget_all()
-        self._udp_peers.clear()
+        self._datagrams.clear()
         self.state.restart(self.clock(), make_incarnation())
 
     def is_silent(self) -> bool:
@@ -186,26 +186,37 @@
             datagram, peer = await sock.receive()
             self._note_received()
             if not self.is_silent():
-                nursery.start_soon(self._answer_datagram, sock, datagram, peer)
+                self._take_datagram(nursery, sock, datagram, peer)
 
-    async def _answer_datagram(self, sock: DatagramSocket, datagram: bytes, peer: Endpoint) -> None:
+    def _take_datagram(
+        self, nursery: trio.Nursery, sock: DatagramSocket, datagram: bytes, peer: Endpoint
+    ) -> None:
+        # As servers of such protocols do, answer a repeated datagram of a sender without running
+        # its request again.
+        key = (peer, datagram)
+        if key in self._datagrams:
+            if self._datagrams[key]:
+                sock.send(self._datagrams[key], peer)
+            return
+        self._datagrams[key] = b""
+        if len(self._datagrams) > MAX_DATAGRAMS:
+            self._datagrams.popitem(last=False)
+        nursery.start_soon(self._run_datagram, sock, datagram, peer)
+
+    async def _run_datagram(self, sock: DatagramSocket, datagram: bytes, peer: Endpoint) -> None:
         incarnation = self.state.incarnation
         self.state.open_request(self.clock())
         run_id = datagram.decode("latin-1")
         count = self.state.note_run(run_id)
         await trio.sleep(self.state.cfg.service_time_s)
-        if self.is_silent() or incarnation != self.state.incarnation:
+        if incarnation != self.state.incarnation:
             return
+        self.state.close_request(self.clock(), True)
         cfg = self.state.cfg
-        sock.send(f"{cfg.service} {cfg.name} {run_id} {count}".encode("latin-1"), peer)
-        self.state.close_request(self.clock(), self._is_first_answer(peer))
-
-    def _is_first_answer(self, peer: Endpoint) -> bool:
-        first = peer not in self._udp_peers
-        self._udp_peers[peer] = None
-        if len(self._udp_peers) > MAX_UDP_PEERS:
-            self._udp_peers.popitem(last=False)
-        return first
+        reply = f"{cfg.service} {cfg.name} {run_id} {count}".encode("latin-1")
+        self._datagrams[(peer, datagram)] = reply
+        if not self.is_silent():
+            sock.send(reply, peer)
 
 
 def build_app(server: BackendServer) -> QuartTrio:
--- a/packages/fescueseam-standins/src/fescueseam_standins/tests/test_path.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_path.py
@@ -160,6 +160,23 @@
     run_bench(scenario)
 
 
+def test_a_repeated_datagram_is_answered_without_a_second_run() -> None:
+    async def scenario(bench: Bench) -> None:
+        sock = DatagramSocket(CALLER, 0)
+        port = bench.backend.list_sockets()[2].endpoint
+        for _ in range(3):
+            sock.send(b"u1", port)
+        assert (await sock.receive())[0] == b"bitacora b1 u1 1"
+        sock.send(b"u1", port)
+        assert (await sock.receive())[0] == b"bitacora b1 u1 1"
+        assert bench.backend.state.runs == {"u1": 1}
+        assert bench.backend.state.counts.overloads == 0
+        assert (bench.backend.state.busy, bench.backend.state.completed) == (0, 1)
+        sock.close()
+
+    run_bench(scenario, slots=2, cold_slots=1)
+
+
 def test_a_lost_datagram_is_sent_again_where_a_retry_does_no_harm() -> None:
     async def scenario(bench: Bench) -> None:
         bench.relay.deaf = True
