Give a freed slot to the opening that has waited longest anywhere

Ruled out: reserving a freed slot for one recorder (its opening has mostly been placed elsewhere by then, and nobody asks for the slot until the next tick); queueing at one home (waits for one server). Change: a place tells how long its opening has waited; for 4 ms after several recorders were told, a home holds offers, as it does for a report, and then judges the oldest first.

--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -20,6 +20,8 @@
 """Take a gap between two events that is longer than this for a pause of the process."""
 PAUSE_SHADOW_S = 1.0
 """Turn offers down for this long after a pause, because they may be old."""
+BIDDING_S = 0.004
+"""Wait this long for offers once recorders are told of a free slot, in seconds."""
 LOCAL_STEPS_LIMIT = 64
 
 
@@ -42,6 +44,8 @@
     claims: ClaimRegistry = field(init=False)
     _waiters: dict[str, float] = field(factory=dict)
     """Hold until when each recorder that was turned down wants to hear of free slots."""
+    _bidding_until: float = float("-inf")
+    """Hold offers until then, so that the opening that has waited longest can come in."""
     _known_room: int = 0
     """Count the free slots that waiting recorders know of."""
     _last_event: float = field(init=False)
@@ -174,7 +178,15 @@
 
     def _take_place(self, message: types.Message, body: types.Place, now: float) -> Effects:
         packet, service_class = self._read_packet(body.packet)
-        offer = Offer(message.sender, message.incarnation, body.attempt, packet, service_class, now)
+        offer = Offer(
+            message.sender,
+            message.incarnation,
+            body.attempt,
+            packet,
+            service_class,
+            now,
+            body.age_s,
+        )
         if self.home.has_delivered(packet.flow, now):
             return self._tell_placed(offer, now)
         held = self.home.held.get(packet.flow)
@@ -182,11 +194,13 @@
             return [] if held.recorder == offer.recorder else self._tell_full(offer, now)
         return self._judge_offer(offer, now)
 
-    def _judge_offer(self, offer: Offer, now: float) -> Effects:
+    def _judge_offer(self, offer: Offer, now: float, bid_over: bool = False) -> Effects:
         barred = self._find_bar() is not None or now < self._woke + PAUSE_SHADOW_S
         if barred or self.home.is_refusing(offer, now):
             return self._tell_full(offer, now)
         verdict = self.home.judge(offer, now)
+        if verdict is Verdict.ADMIT and now < self._bidding_until and not bid_over:
+            verdict = Verdict.VERIFY
         if verdict is Verdict.ADMIT:
             effects = self.home.open(offer.packet, offer.service_class, now)
             self._known_room -= 1
@@ -222,11 +236,16 @@
     # Offers
 
     def _judge_held(self, requested: float, now: float) -> Effects:
+        # The next report leaves time for other offers; one that takes no time leaves none.
+        if now < self._bidding_until and requested < now:
+            return [Probe()] if self.home.held else []
         effects: Effects = []
-        for flow, offer in list(self.home.held.items()):
+        # The slot goes to the opening that has waited longest.
+        held = sorted(self.home.held.items(), key=lambda item: item[1].started)
+        for flow, offer in held:
             if offer.arrived <= requested:
                 del self.home.held[flow]
-                effects += self._judge_offer(offer, now)
+                effects += self._judge_offer(offer, now, bid_over=True)
         return effects
 
     def _turn_down_held(self, now: float) -> Effects:
@@ -264,6 +283,8 @@
         if not grown or not self._waiters:
             return []
         self._waiters = {name: end for name, end in self._waiters.items() if end > now}
+        if len(self._waiters) > 1 and now >= self._bidding_until:
+            self._bidding_until = now + BIDDING_S
         effects: Effects = []
         for name in self._waiters:
             effects += self._tell(name, types.Free(load), None)
--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -44,6 +44,13 @@
     packet: Packet = field(repr=False)
     service_class: ServiceClass
     arrived: float
+    age_s: float = 0.0
+    """Tell how long the opening had waited when it was offered, in seconds."""
+
+    @property
+    def started(self) -> float:
+        """Return when the opening began to look for a home."""
+        return self.arrived - self.age_s
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/messages/codec.py
+++ b/packages/fescueseam/src/fescueseam/messages/codec.py
@@ -143,7 +143,9 @@
 
 
 def _write_place(raw: Any, body: types.Place) -> None:
-    raw.init("place").attempt = body.attempt
+    place = raw.init("place")
+    place.attempt = body.attempt
+    place.ageSeconds = body.age_s
 
 
 def _write_outcome(field_name: str) -> Callable[[Any, Any], None]:
@@ -317,7 +319,7 @@
 
 _READERS: dict[str, Callable[[Any, bytes], types.Body]] = {
     "carry": lambda raw, packet: types.Carry(packet, raw.homed),
-    "place": lambda raw, packet: types.Place(raw.attempt, packet),
+    "place": lambda raw, packet: types.Place(raw.attempt, packet, raw.ageSeconds),
     "placed": lambda raw, _: types.Placed(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
     "full": lambda raw, _: types.Full(raw.attempt, _read_flow(raw.flow), _read_load(raw.load)),
     "notHere": lambda raw, _: types.NotHere(_read_flow(raw.flow), bytes(raw.packet)),
--- a/packages/fescueseam/src/fescueseam/messages/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/messages/schema.capnp
@@ -51,6 +51,7 @@
 
 struct Place {
   attempt @0 :UInt64;
+  ageSeconds @1 :Float64;
 }
 
 struct Placed {
--- a/packages/fescueseam/src/fescueseam/messages/types.py
+++ b/packages/fescueseam/src/fescueseam/messages/types.py
@@ -32,6 +32,8 @@
 
     attempt: int
     packet: bytes = field(repr=False)
+    age_s: float = 0.0
+    """Tell how long the opening has waited, in seconds."""
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -123,7 +123,7 @@
                 opening.turned_down.discard(sender)
         effects: Effects = []
         room = max(1, load.slots - load.busy)
-        # The oldest first; one that was offered in vain stands behind younger ones in the dictionary.
+        # The oldest first; one that was offered in vain stands behind younger ones.
         waiting = sorted(self.waiting.values(), key=lambda opening: opening.started)
         for opening in waiting[:room]:
             member = self._find_candidate(opening, sender)
@@ -290,7 +290,7 @@
         return [self._send_place(opening, member)]
 
     def _send_place(self, opening: Opening, member: Member) -> Send:
-        body = types.Place(opening.attempt, opening.packet.raw)
+        body = types.Place(opening.attempt, opening.packet.raw, opening.sent - opening.started)
         return self._send(member, body, opening.service_class)
 
     def _settle(self, opening: Opening, holder: str, now: float) -> Effects:
