Announce to one keeper, and to its stand-in only while an answer is late

A late answer is asked for again after 0.35 s, and the stand-in is asked too, so one lost datagram or one dead keeper costs neither lease nor suspicion. Processes that started before their own data centre's balancers kept announcing elsewhere; answers now name balancers of their place first.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -3,11 +3,13 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from attrs import evolve
+
 from fescueseam.conf.models import ProcessSettings, Role
 from fescueseam.effects import Send
 from fescueseam.membership.detector import DEAD_AFTER_S, Membership
 from fescueseam.membership.facts import Announcement, MembershipEvent, ProcessFacts, Status
-from fescueseam.membership.peers import PeerBook, to_peer
+from fescueseam.membership.peers import to_peer
 from fescueseam.membership.rendezvous import choose_keepers
 from fescueseam.membership.reports import (
     MEMBERS_PREFIX,
@@ -26,18 +28,18 @@
 from fescueseam.versions.pages import pack_values
 from fescueseam.versions.values import CONFIG_PREFIX, VersionedValue
 from fescueseam_daemon.control.agent_node import build_suspects
-from fescueseam_daemon.control.node import KEEPERS, ControlNode
+from fescueseam_daemon.control.node import ControlNode, Keepers
 
 MERGE_INTERVAL_S = 0.25
-MISSING_SUSPECT_S = 4.0
+MISSING_SUSPECT_S = 2.5
 """Suspect a listed member that no keeper has reported on for this time."""
 STAND_INS = 3
 """Count the balancers that may write the same object, by rank."""
 WATCHERS = 2
 """Let this many balancers of a data centre hold a watch of the store."""
-PEERS_PER_ANSWER = 8
-FIRST_ANSWERS = 3
-NAMING_EVERY = 10
+PEERS_PER_ANSWER = 6
+FIRST_ANSWERS = 2
+NAMING_EVERY = 60
 """Name peers and suspects in the first answers and then in one of this many."""
 RETELL_S = 3.0
 """Repeat changed suspects in every answer for this time, as datagrams get lost."""
@@ -128,15 +130,16 @@
         sighting = self.sightings.get(name)
         return to_peer(sighting.facts) if sighting is not None else None
 
-    def _list_keepers(self, now: float) -> list[Peer]:
-        near = super()._list_keepers(now)
+    def _choose_keepers(self, now: float) -> Keepers:
+        near = super()._choose_keepers(now)
         # One keeper elsewhere lets the other data centres see this one.
-        others = PeerBook(self.settings.name)
-        for peer in self.book.list_peers():
-            if peer.data_centre != self.settings.data_centre:
-                others.learn(peer)
-        far = others.choose(self.settings.name, now, "", self.settings.region, 1)
-        return [*near[:KEEPERS], *(peer for peer in far if peer not in near[:KEEPERS])]
+        own = self.settings
+        others = [
+            peer for peer in self.book.list_usable(now) if peer.data_centre != own.data_centre
+        ]
+        far = {peer.name: peer for peer in others if peer not in near.first}
+        chosen = choose_keepers(own.name, far, 1)
+        return evolve(near, first=(*near.first, *(far[name] for name in chosen)))
 
     def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
         facts = self._read_facts(message, body)
@@ -149,7 +152,7 @@
         heard = self.membership.records.get(facts.name)
         count = heard.count if heard is not None else 0
         names_peers = count <= FIRST_ANSWERS or count % NAMING_EVERY == 0
-        peers = self._choose_peers() if names_peers else ()
+        peers = self._choose_peers(facts) if names_peers or self._is_misplaced(facts) else ()
         bodies: list[Body] = [AnnounceAnswer(peers, body.heartbeat)]
         known = self._suspects.get(message.service)
         is_fresh = now - self._told_at.get(message.service, float("-inf")) < RETELL_S
@@ -178,14 +181,21 @@
             metrics_port=body.metrics_port,
         )
 
-    def _choose_peers(self) -> tuple[Peer, ...]:
-        live = [peer for name in self.list_live() if (peer := self.book.find(name)) is not None]
-        own = self.settings
-        near = [peer for peer in live if peer.data_centre == own.data_centre]
-        far = [peer for peer in live if peer.data_centre != own.data_centre]
-        self.rng.shuffle(near)
-        self.rng.shuffle(far)
-        chosen = [*near[: PEERS_PER_ANSWER - 3], *far][: PEERS_PER_ANSWER - 1]
+    def _is_misplaced(self, facts: ProcessFacts) -> bool:
+        """Tell whether an agent announces here though balancers of its own place are alive."""
+        if facts.role is not Role.AGENT or facts.data_centre == self.settings.data_centre:
+            return False
+        return any(
+            self.sightings[name].facts.data_centre == facts.data_centre for name in self._live
+        )
+
+    def _choose_peers(self, facts: ProcessFacts) -> tuple[Peer, ...]:
+        live = [peer for name in self._live if (peer := self.book.find(name)) is not None]
+        self.rng.shuffle(live)
+        # Those of the announcing process's own place first, then some from elsewhere.
+        near = [peer for peer in live if peer.data_centre == facts.data_centre]
+        far = [peer for peer in live if peer.data_centre != facts.data_centre]
+        chosen = [*near[: PEERS_PER_ANSWER - 2], *far][: PEERS_PER_ANSWER - 1]
         return (to_peer(self.describe_self()), *chosen)
 
     # Reports
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fescueseam.conf.models import Configuration, ProcessSettings
 from fescueseam.effects import Send
@@ -29,7 +29,9 @@
 LEASE_S = 2.0
 """Deliver nothing once no other process was heard for this time."""
 ANNOUNCE_PERIOD_S = 1.0
-"""Announce to each keeper once in this time."""
+"""Announce to the first keeper once in this time."""
+RETRY_S = 0.35
+"""Announce again, and to the stand-in too, when no answer has come for this time."""
 KEEPERS = 2
 SYNC_INTERVAL_S = 0.4
 """Send what a lagging peer lacks at most once in this time."""
@@ -54,12 +56,20 @@
     lease_from: float = float("-inf")
     """Hold when the latest heartbeat that was answered had been sent."""
     announce_at: dict[Peer, float] = field(factory=dict)
-    """Map each keeper to the time of the next announcement to it."""
+    """Map each keeper to the latest announcement to it."""
     synced: dict[str, float] = field(factory=dict)
     sent: OrderedDict[int, float] = field(factory=OrderedDict)
     """Map each heartbeat that waits for an answer to its sending."""
 
 
+@frozen
+class Keepers:
+    """Name those that hear every heartbeat and those that do while an answer is late."""
+
+    first: tuple[Peer, ...]
+    stand_ins: tuple[Peer, ...]
+
+
 class ControlNode:
     """Announce, compare versions with peers and keep the view current."""
 
@@ -122,9 +132,12 @@
     def _make_gossip(self, rng: random.Random, now: float) -> Gossip:
         return Gossip(VersionedMap(), rng, now)
 
-    def _list_keepers(self, now: float) -> list[Peer]:
+    def _choose_keepers(self, now: float) -> Keepers:
         settings = self.settings
-        return self.book.choose(settings.name, now, settings.data_centre, settings.region, KEEPERS)
+        chosen = self.book.choose(
+            settings.name, now, settings.data_centre, settings.region, KEEPERS
+        )
+        return Keepers(tuple(chosen[:1]), tuple(chosen[1:]))
 
     def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
         return []
@@ -144,6 +157,8 @@
                 return self._on_announce(message, body, now)
             case AnnounceAnswer():
                 self._renew_lease(body.heartbeat)
+                # An agent exchanges no digests; its keepers' versions are what it compares with.
+                self.gossip.note_peer_version(message.config_version)
                 for peer in body.peers:
                     self.book.learn(peer)
                 return []
@@ -181,19 +196,28 @@
     # Announcements
 
     def _announce(self, now: float) -> list[Send]:
-        keepers = self._list_keepers(now)
-        if not keepers or (self.seeds and not self.book.list_heard(now, LEASE_S)):
+        keepers = self._choose_keepers(now)
+        first, stand_ins = list(keepers.first), []
+        if any(self.book.is_late(peer.name, now, RETRY_S) for peer in first):
+            stand_ins = list(keepers.stand_ins)
+        if not first or (self.seeds and not self.book.list_heard(now, LEASE_S)):
             # Nobody known answers: the seeds may.
-            keepers = [*keepers, *self.seeds]
+            stand_ins += self.seeds
         known = self._clocks.announce_at
         # Each keeper has its own rhythm, so that no change of keepers makes a gap at another.
-        self._clocks.announce_at = {peer: known.get(peer, now) for peer in keepers}
-        due = [peer for peer, due_at in self._clocks.announce_at.items() if now >= due_at]
-        return [self._announce_to(peer, peer not in known, now) for peer in due]
-
-    def _announce_to(self, keeper: Peer, is_new: bool, now: float) -> Send:
-        shift = self.rng.uniform(0.5, 1.0) if is_new else 1.0
-        self._clocks.announce_at[keeper] = now + shift * ANNOUNCE_PERIOD_S
+        self._clocks.announce_at = {
+            peer: known.get(peer, float("-inf")) for peer in (*first, *stand_ins)
+        }
+        due = [peer for peer in self._clocks.announce_at if self._is_due(peer, now)]
+        return [self._announce_to(peer, now) for peer in due]
+
+    def _is_due(self, keeper: Peer, now: float) -> bool:
+        since_s = now - self._clocks.announce_at[keeper]
+        is_late = self.book.is_late(keeper.name, now, RETRY_S)
+        return since_s >= (RETRY_S if is_late else ANNOUNCE_PERIOD_S)
+
+    def _announce_to(self, keeper: Peer, now: float) -> Send:
+        self._clocks.announce_at[keeper] = now
         self.book.note_asked(keeper.name, now)
         return self._make(keeper, self._describe(now), self.settings.service)
 
--- a/packages/fescueseam/src/fescueseam/membership/detector.py
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -10,8 +10,8 @@
     Status,
 )
 
-SUSPECT_AFTER_S = 1.4
-"""Suspect a process after this silence; every keeper of it hears it once a second."""
+SUSPECT_AFTER_S = 1.6
+"""Suspect a process after this silence; its first keeper hears it once a second."""
 DEAD_AFTER_S = 3.0
 FORGET_AFTER_S = 7200.0
 """Forget a dead process after this silence, longer than the store may be away."""
--- a/packages/fescueseam/src/fescueseam/membership/peers.py
+++ b/packages/fescueseam/src/fescueseam/membership/peers.py
@@ -64,6 +64,16 @@
         if known.asked_at is None or now - known.asked_at > RETRY_SILENT_S:
             known.asked_at = now
 
+    def is_late(self, name: str, now: float, after_s: float) -> bool:
+        """Tell whether a peer has owed an answer for longer than a time."""
+        known = self._known.get(name)
+        return known is not None and known.asked_at is not None and now - known.asked_at > after_s
+
+    def list_usable(self, now: float) -> list[Peer]:
+        """Return the peers that are not silent, or all if every one is."""
+        usable = [known.peer for known in self._known.values() if not _is_silent(known, now)]
+        return usable or self.list_peers()
+
     def list_heard(self, now: float, within_s: float) -> list[Peer]:
         """Return the peers that were heard lately."""
         return [known.peer for known in self._known.values() if now - known.heard_at <= within_s]
@@ -74,11 +84,8 @@
 
     def choose(self, key: str, now: float, data_centre: str, region: str, count: int) -> list[Peer]:
         """Return keepers of a key: of the data centre first, then of the region, then any."""
-        usable = [known.peer for known in self._known.values() if not _is_silent(known, now)]
-        if not usable:
-            usable = self.list_peers()
         chosen: list[Peer] = []
-        for group in _group(usable, data_centre, region):
+        for group in _group(self.list_usable(now), data_centre, region):
             names = choose_keepers(key, group, count - len(chosen))
             chosen += [group[name] for name in names]
         return chosen
--- a/packages/fescueseam/src/fescueseam/membership/reports.py
+++ b/packages/fescueseam/src/fescueseam/membership/reports.py
@@ -92,7 +92,7 @@
     for kept in reports:
         by_keeper.setdefault(kept.keeper, []).append(kept.report)
     merged: dict[str, Sighting] = {}
-    for keeper in find_reachable(by_keeper, reached):
+    for keeper in sorted(find_reachable(by_keeper, reached)):
         for report in by_keeper.get(keeper, ()):
             known = merged.get(report.facts.name)
             merged[report.facts.name] = _merge(known, report)
