Say nothing about a late copy of work that has run and ended

Cause: a home forgot a repeatable flow at its end. Ruled out: quarantine as for classes that may not be repeated, which would drop a device that sends from one port again; two recorders, since one alone did it. Change: a home remembers ended flows for a packet's lifetime and does not answer an offer of one that it turns down, so the recorder cannot call it not run.

--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -270,6 +270,9 @@
 
     def _tell_full(self, offer: Offer, now: float) -> Effects:
         self.home.turn_down(offer, now)
+        if self.home.has_ended(offer.packet.flow, now):
+            # It has run here, so no "not run" may follow from this member's word: it gives none.
+            return []
         load = self.home.gate.describe_load(now)
         body = types.Full(offer.attempt, offer.packet.flow, load)
         return self._tell(offer.recorder, body, offer.service_class)
--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -14,6 +14,7 @@
 from fescueseam.packets.adapter import Packet, Phase, find_phase
 
 TURNED_DOWN_LIMIT = 16384
+ENDED_LIMIT = 16384
 HELD_LIMIT = 256
 HOLD_S = 0.2
 """Bound the wait for the backend server's report before an opening is turned down."""
@@ -75,6 +76,7 @@
     _lag_s: float = RECONCILE_IDLE_S
     """Take reports to be this late; a slot freed in error doubles it."""
     _turned_down: OrderedDict[FlowKey, TurnedDown] = field(factory=OrderedDict)
+    _ended: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
 
     def has_delivered(self, flow: FlowKey, now: float) -> bool:
         """Tell whether a flow is open here or has run here lately."""
@@ -156,9 +158,21 @@
             self.gate.give_back(record.service_class.kind, success, now)
         if not record.service_class.repeatable:
             self.flows.quarantine(flow, now + PACKET_LIFETIME_S)
+        else:
+            self._note_ended(flow, now)
         life_s = now - record.opened
         return [CloseFlow(flow), Observe(Measure.FLOW_LIFE_S, life_s, record.service_class.name)]
 
+    def has_ended(self, flow: FlowKey, now: float) -> bool:
+        """Tell whether a flow that may be repeated has run here lately."""
+        return self._ended.get(flow, now) > now
+
+    def _note_ended(self, flow: FlowKey, now: float) -> None:
+        self._ended[flow] = now + PACKET_LIFETIME_S
+        self._ended.move_to_end(flow)
+        while len(self._ended) > ENDED_LIMIT:
+            self._ended.popitem(last=False)
+
     def close_all(self, now: float) -> Effects:
         """Close every flow, none of them a success."""
         effects: Effects = []
