--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
@@ -31,14 +31,23 @@
     def update_suspects(self, now: float) -> None:
         """Suspect the members that every keeper heard lately suspects."""
         prefix = f"{SUSPECTS_PREFIX}{self.settings.service}/"
-        lists = []
+        lists: list[frozenset[str]] = []
         for keeper in self.book.list_heard(now, LEASE_S):
             value = self.gossip.values.get(prefix + keeper.name)
-            lists.append(frozenset(json.loads(value.value)) if value else frozenset())
+            lists.append(read_suspects(value) if value is not None else frozenset())
         suspects = frozenset.intersection(*lists) if lists else frozenset()
         self.view.set_suspects(suspects - {self.settings.name})
 
 
+def read_suspects(value: VersionedValue) -> frozenset[str]:
+    """Return the names that a value holds; garbage names nobody."""
+    try:
+        names = json.loads(value.value)
+    except ValueError:
+        return frozenset()
+    return frozenset(str(name) for name in names) if isinstance(names, list) else frozenset()
+
+
 def build_suspects(
     keeper: str, service: str, names: frozenset[str], version: int
 ) -> VersionedValue:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -7,6 +7,7 @@
 
 from fescueseam.conf.models import ProcessSettings, Role
 from fescueseam.effects import Send
+from fescueseam.exceptions import MessageError
 from fescueseam.membership.detector import DEAD_AFTER_S, Membership
 from fescueseam.membership.facts import Announcement, MembershipEvent, ProcessFacts, Status
 from fescueseam.membership.peers import to_peer
@@ -161,6 +162,8 @@
         return [self._make(peer, answer, message.service) for answer in bodies]
 
     def _read_facts(self, message: Message, body: Announce) -> ProcessFacts:
+        if body.role not in list(Role):
+            raise MessageError(f"no role {body.role!r}")
         table = self.view.find_table(message.service) if message.service else None
         displaced = table is not None and any(
             extra.member == message.sender for extra in table.extras
@@ -223,7 +226,11 @@
                 self._take_report(value)
 
     def _take_report(self, value: VersionedValue) -> None:
-        kept = decode_report(value)
+        try:
+            kept = decode_report(value)
+        except MessageError:
+            self.faults += 1
+            return
         self._reports[value.key] = kept
         facts = kept.report.facts
         if facts.role is Role.BALANCER and kept.report.status is Status.ALIVE:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -56,7 +56,11 @@
 
     def handle_message(self, message: Message) -> bool:
         """Take a message; tell whether it was one of control."""
-        sends = self.node.handle(message, time.monotonic())
+        try:
+            sends = self.node.handle(message, time.monotonic())
+        except FescueseamError as exc:
+            self._channel.metrics.count_drop(exc.kind)
+            return True
         if sends is None:
             return False
         self._send(sends)
@@ -240,7 +244,8 @@
             self.node.gossip.note_store_read()
             for stored in changes.objects:
                 self.take_object(stored)
-            after = max(after, changes.revision, 1)
+            # A store brought back from a copy counts from a lower revision.
+            after = max(changes.revision, 1)
 
     async def _poll(self) -> None:
         while True:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -8,6 +8,7 @@
 
 from fescueseam.conf.models import Configuration, ProcessSettings
 from fescueseam.effects import Send
+from fescueseam.exceptions import StoreError
 from fescueseam.membership.peers import PeerBook
 from fescueseam.messages.types import (
     Announce,
@@ -87,6 +88,8 @@
         self.view = view
         self.book = PeerBook(settings.name)
         self.own = OwnReport()
+        self.faults = 0
+        """Count values that could not be read and had no effect."""
         self.seeds = [_parse_seed(seed) for seed in settings.seeds]
         self.gossip = self._make_gossip(rng, now)
         self.rng = rng
@@ -279,7 +282,7 @@
         changed, self.gossip.changed = self.gossip.changed, []
         for value in changed:
             if value.key.startswith(TABLES_PREFIX) and not value.deleted:
-                self.view.set_table(unpack_table(value))
+                self._take_table(value)
         if self.gossip.is_current(now):
             self.view.set_configuration(self.gossip.configuration)
         if changed:
@@ -287,6 +290,12 @@
         hot = self.gossip.take_hot()
         return self._push(hot, now) if hot else []
 
+    def _take_table(self, value: VersionedValue) -> None:
+        try:
+            self.view.set_table(unpack_table(value))
+        except StoreError:
+            self.faults += 1
+
     # What the store loops use
 
     def take_configuration(self, cfg: Configuration, writer: str) -> None:
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
@@ -0,0 +1,100 @@
+import os
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fescueseam.conf.models import KeySettings, ProcessSettings, Role
+from fescueseam.exceptions import FescueseamError
+from fescueseam.messages import types
+from fescueseam.routing.view import View
+from fescueseam_daemon.control.agent_node import AgentNode
+from fescueseam_daemon.control.balancer_node import BalancerNode
+
+KEYS = (KeySettings(1, "one"),)
+KEY_NAMES = [
+    "config/head",
+    "config/service/katalog",
+    "config/unknown/x",
+    "tables/katalog",
+    "members/solo/b9/katalog/a1",
+    "members/short",
+    "suspects/katalog/b9",
+]
+
+
+def make_settings(role):
+    service = "katalog" if role is Role.AGENT else ""
+    return ProcessSettings(
+        "own", "solo", "jawa-tengah", "10.0.0.1", 7000, "", KEYS, 7001, role, service=service
+    )
+
+
+def make_node(role):
+    kind = BalancerNode if role is Role.BALANCER else AgentNode
+    rng = random.Random(int(os.environ.get("SEED", "1")))
+    return kind(make_settings(role), 1, View(), rng, 0.0)
+
+
+values = st.builds(
+    types.Value,
+    key=st.sampled_from(KEY_NAMES),
+    version=st.integers(0, 2**63),
+    writer=st.just("w"),
+    data=st.one_of(st.binary(max_size=40), st.sampled_from([b"{}", b"[]", b"[1]", b"null"])),
+    page=st.integers(0, 3),
+    pages=st.integers(0, 3),
+    deleted=st.booleans(),
+)
+bodies = st.one_of(
+    st.builds(types.GossipValues, st.lists(values, max_size=4).map(tuple)),
+    st.builds(types.GossipDigest, st.lists(st.integers(0, 9), max_size=130).map(tuple)),
+    st.builds(
+        types.GossipKeys,
+        st.integers(0, 65535),
+        st.lists(st.builds(types.KeyVersion, st.integers(0, 9), st.integers(0, 9))).map(tuple),
+        st.booleans(),
+    ),
+    st.builds(
+        types.Announce,
+        st.sampled_from(["agent", "balancer", "other"]),
+        *[st.sampled_from(["", "solo"])] * 2,
+        st.just("10.0.0.2"),
+        *[st.integers(0, 65535)] * 2,
+        st.integers(0, 2**63),
+    ),
+    st.builds(types.AnnounceAnswer, st.just(()), st.integers(0, 2**63)),
+)
+
+
+@pytest.mark.parametrize("role", list(Role))
+@settings(max_examples=150, deadline=None)
+@given(received=st.lists(bodies, max_size=6))
+def test_no_content_of_a_message_ends_a_loop(role, received):
+    node = make_node(role)
+    for index, body in enumerate(received):
+        now = index * 0.3
+        message = types.Message("b9", 1, body, target="own", service="katalog")
+        try:
+            node.handle(message, now)
+        except FescueseamError:
+            continue
+        node.tick(now)
+    assert node.gossip.configuration.version == 0
+
+
+def test_an_answer_to_no_heartbeat_of_this_process_renews_no_lease():
+    node = make_node(Role.AGENT)
+    for heartbeat in range(100):
+        answer = types.Message("b0", 1, types.AnnounceAnswer((), heartbeat), target="own")
+        node.handle(answer, 1.0)
+    assert not node.hears_peers(1.0)
+
+
+def test_a_process_without_peers_announces_to_its_seeds():
+    node = make_node(Role.AGENT)
+    node.seeds.append(types.Peer("", "balancer", "", "", "10.0.0.9", 7000, 0))
+    sends = node.tick(0.0)
+    assert [(send.address, send.port) for send in sends] == [("10.0.0.9", 7000)]
+    assert isinstance(sends[0].message.body, types.Announce)
--- a/packages/fescueseam/src/fescueseam/membership/reports.py
+++ b/packages/fescueseam/src/fescueseam/membership/reports.py
@@ -9,8 +9,10 @@
 
 import cattrs.preconf.json
 from attrs import evolve, frozen
+from cattrs.errors import BaseValidationError
 
 from fescueseam.conf.models import Role
+from fescueseam.exceptions import MessageError
 from fescueseam.membership.facts import ProcessFacts, Status
 from fescueseam.versions.values import VersionedValue
 
@@ -50,8 +52,11 @@
 
 
 def decode_report(value: VersionedValue) -> KeptReport:
-    """Return the report that a value holds and who made it."""
-    return KeptReport(value.key.split("/")[2], _converter.loads(value.value, Report))
+    """Return the report that a value holds and who made it; raise MessageError on garbage."""
+    try:
+        return KeptReport(value.key.split("/")[2], _converter.loads(value.value, Report))
+    except (BaseValidationError, ValueError, TypeError, LookupError) as exc:
+        raise MessageError(f"no report: {value.key}") from exc
 
 
 class ReportVersions:
--- a/packages/fescueseam/src/fescueseam/upkeep/documents.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/documents.py
@@ -36,4 +36,7 @@
 
 def unpack_table(value: VersionedValue) -> Table:
     """Return the table that a versioned value holds."""
-    return decode_table(json.loads(value.value))
+    try:
+        return decode_table(json.loads(value.value))
+    except ValueError as exc:
+        raise StoreError(f"no table: {exc}", ErrorKind.MALFORMED_MESSAGE) from exc
--- a/packages/fescueseam/src/fescueseam/versions/configuration.py
+++ b/packages/fescueseam/src/fescueseam/versions/configuration.py
@@ -5,6 +5,7 @@
 
 import cattrs.preconf.json
 from attrs import frozen
+from cattrs.errors import BaseValidationError
 
 from fescueseam.conf.models import (
     Configuration,
@@ -95,11 +96,20 @@
     def __init__(self, values: VersionedMap) -> None:
         """Start with nothing in force."""
         self.in_force = Configuration()
+        self.faults = 0
+        """Count versions that could not be read; the former one stays in force."""
         self._values = values
         self._decoded: dict[str, tuple[bytes, Any]] = {}
 
     def refresh(self) -> bool:
         """Put the head's version in force once all its entries are there; tell whether."""
+        try:
+            return self._refresh()
+        except (BaseValidationError, ValueError, TypeError, LookupError):
+            self.faults += 1
+            return False
+
+    def _refresh(self) -> bool:
         if self._values.version(HEAD_KEY) <= self.in_force.version:
             return False
         head_entry = self._values.get(HEAD_KEY)
