Call the store through one HTTP client

Cause: the command and the daemon each had a client with the same calls and parsing, and they had drifted (the daemon took a created object's 201 for a failure, the command quoted no keys). Change: fescueseam_daemon.store holds the client; the daemon adds its bounds and counter, the command its margin, and depends on the daemon's package. The connecting part of a watch keeps the client's usual bound; the command let it last as long as the watch. An answer without a version is a lost reply, not a KeyError.

--- a/packages/fescueseam-cli/src/fescueseam_cli/changes.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/changes.py
@@ -18,11 +18,15 @@
 from fescueseam.conf.differences import Difference, find_common_paths, find_differences
 from fescueseam.conf.loading import make_settings_error
 from fescueseam.conf.models import Configuration
-from fescueseam.exceptions import ConfigurationConflictError, StoreConflictError, StoreError
+from fescueseam.exceptions import (
+    ConfigurationConflictError,
+    SettingsError,
+    StoreConflictError,
+    StoreError,
+)
 from fescueseam.retries.backoff import compute_backoff
 from fescueseam.upkeep.store import Store
-
-from .store import ReplyLostError
+from fescueseam_daemon.store import OversizeValueError, ReplyLostError
 
 MAX_ATTEMPTS = 5
 """Bound the writes of one change and the reads that resolve one lost reply."""
@@ -127,6 +131,8 @@
                 continue
             except ReplyLostError:
                 doubtful = True
+            except OversizeValueError as exc:
+                raise SettingsError(f"{exc}; nothing was written") from exc
             except StoreError as exc:
                 raise _describe_failure(exc, doubtful) from exc
             await self._sleep(compute_backoff(attempt, self._rng))
--- a/packages/fescueseam-cli/src/fescueseam_cli/environment.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/environment.py
@@ -10,8 +10,9 @@
 import trio
 from attrs import field, frozen
 
+from fescueseam.upkeep.store import Store
+
 from .changes import ConfigurationChanger
-from .store import HttpStore
 
 
 def make_writer() -> str:
@@ -42,6 +43,6 @@
         ) as client:
             yield client
 
-    def make_changer(self, store: HttpStore) -> ConfigurationChanger:
+    def make_changer(self, store: Store) -> ConfigurationChanger:
         """Make the writer of configuration changes."""
         return ConfigurationChanger(store, self.rng, self.sleep, self.make_writer)
--- a/packages/fescueseam-cli/src/fescueseam_cli/options.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/options.py
@@ -15,13 +15,15 @@
 from fescueseam.checks.values import check_url
 from fescueseam.conf.loading import make_settings_error
 from fescueseam.exceptions import KINDS, FescueseamError, SettingsError, StoreError
+from fescueseam_daemon.store import StoreClient
 
 from .changes import ConfigurationChanger
 from .environment import Environment
 from .output import OutputFormat, Printer
-from .store import HttpStore
 
 DEFAULT_TIMEOUT_S = 5.0
+WATCH_MARGIN_S = 5.0
+"""Wait this much longer for the answer to a watch than the watch itself lasts."""
 
 StoreOption = Annotated[
     str,
@@ -48,7 +50,7 @@
     timeout_s: float = DEFAULT_TIMEOUT_S
 
     @asynccontextmanager
-    async def open_store(self) -> AsyncIterator[HttpStore]:
+    async def open_store(self) -> AsyncIterator[StoreClient]:
         """Open the store; raise StoreError where none is named."""
         if not self.store_url:
             raise SettingsError("no store is named: use --store URL or FESCUESEAM_STORE")
@@ -56,7 +58,7 @@
         if faults:
             raise make_settings_error(faults)
         async with self.open_client(self.store_url) as client:
-            yield HttpStore(client)
+            yield StoreClient(client, WATCH_MARGIN_S)
 
     @asynccontextmanager
     async def open_changer(self) -> AsyncIterator[ConfigurationChanger]:
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/store.py
@@ -0,0 +1,149 @@
+"""Call the platform's object API over HTTP; daemons and the command share this client."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import httpx
+import trio
+
+from fescueseam.exceptions import ErrorKind, StoreConflictError, StoreError
+from fescueseam.upkeep.store import StoreChanges, StoredObject
+
+FAILED = "failed"
+"""Name the outcome of a call that brought no status."""
+_DONE = (httpx.codes.OK, httpx.codes.CREATED)
+_UNREACHED = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+NoteOutcome = Callable[[str, str], None]
+"""Take the kind of a call (read, write, watch) and its outcome (a status or `failed`)."""
+
+
+class ReplyLostError(StoreError):
+    """Report a call without a usable reply; a write may have taken effect."""
+
+
+class OversizeValueError(StoreError):
+    """Report a value that the store does not take; nothing was written."""
+
+    kind = ErrorKind.INVALID_SETTINGS
+
+
+def ignore_outcome(call: str, outcome: str) -> None:
+    """Note nothing; for callers without metrics."""
+
+
+class StoreClient:
+    """Implement the store's interface by one HTTP client; every failure is a StoreError."""
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        watch_margin_s: float,
+        note_outcome: NoteOutcome = ignore_outcome,
+    ) -> None:
+        """Keep the client, whose base URL is that of the store; nothing is sent yet.
+
+        The answer to a watch may take ``watch_margin_s`` longer than the watch itself lasts.
+        """
+        self._client = client
+        self._watch_margin_s = watch_margin_s
+        self._note_outcome = note_outcome
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        reply = await self._call("read", "GET", f"/objects/{quote(key)}")
+        if reply.status_code == httpx.codes.NOT_FOUND:
+            return None
+        return _read_object(_read_body(reply))
+
+    async def list_objects(self, prefix: str) -> tuple[StoredObject, ...]:
+        """Return the objects whose key starts with a prefix."""
+        reply = await self._call("read", "GET", "/objects", params={"prefix": prefix})
+        return _read_objects(_read_body(reply))
+
+    async def put(self, key: str, value: Any, expected_version: int) -> int:
+        """Write if the version is the expected one, 0 for no object; return the new version."""
+        headers = {"If-Match": f'"{expected_version}"'}
+        reply = await self._call(
+            "write", "PUT", f"/objects/{quote(key)}", json=value, headers=headers
+        )
+        if reply.status_code == httpx.codes.PRECONDITION_FAILED:
+            current = _parse_body(reply).get("version")
+            raise StoreConflictError(f"{key} is at version {current}, not at {expected_version}")
+        if reply.status_code == httpx.codes.REQUEST_ENTITY_TOO_LARGE:
+            raise OversizeValueError(f"{key} exceeds the store's limit on a value")
+        return _read_number(_read_body(reply), "version")
+
+    async def watch(self, prefix: str, after: int, timeout_s: float) -> StoreChanges:
+        """Wait for changes after a revision, for a bounded time."""
+        params: dict[str, str | int | float] = {
+            "prefix": prefix,
+            "after": after,
+            "timeout_s": timeout_s,
+        }
+        usual = self._client.timeout
+        timeout = httpx.Timeout(
+            connect=usual.connect,
+            read=timeout_s + self._watch_margin_s,
+            write=usual.write,
+            pool=usual.pool,
+        )
+        reply = await self._call("watch", "GET", "/watch", params=params, timeout=timeout)
+        body = _read_body(reply)
+        deleted = tuple(body.get("deleted", ()))
+        return StoreChanges(_read_number(body, "revision"), _read_objects(body), deleted)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        with trio.CancelScope(shield=True):
+            await self._client.aclose()
+
+    async def _call(self, call: str, method: str, path: str, **arguments: Any) -> httpx.Response:
+        try:
+            reply = await self._client.request(method, path, **arguments)
+        except httpx.HTTPError as exc:
+            self._note_outcome(call, FAILED)
+            reason = str(exc) or type(exc).__name__
+            if isinstance(exc, _UNREACHED):
+                url = self._client.base_url
+                raise StoreError(f"the store at {url} cannot be reached: {reason}") from exc
+            raise ReplyLostError(f"the store did not answer {method} {path}: {reason}") from exc
+        self._note_outcome(call, str(reply.status_code))
+        if reply.is_server_error:
+            raise ReplyLostError(f"the store answered {method} {path} with {reply.status_code}")
+        return reply
+
+
+def _read_body(reply: httpx.Response) -> dict[str, Any]:
+    if reply.status_code not in _DONE:
+        raise StoreError(f"the store refused the call with {reply.status_code}")
+    return _parse_body(reply)
+
+
+def _parse_body(reply: httpx.Response) -> dict[str, Any]:
+    try:
+        body = reply.json()
+    except ValueError as exc:
+        raise ReplyLostError("the store's answer is not JSON") from exc
+    if not isinstance(body, dict):
+        raise ReplyLostError("the store's answer is not a JSON object")
+    return body
+
+
+def _read_number(body: dict[str, Any], key: str) -> int:
+    try:
+        return int(body[key])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ReplyLostError(f"the store's answer states no {key}") from exc
+
+
+def _read_objects(body: dict[str, Any]) -> tuple[StoredObject, ...]:
+    return tuple(_read_object(item) for item in body.get("objects", ()))
+
+
+def _read_object(item: Any) -> StoredObject:
+    try:
+        return StoredObject(str(item["key"]), int(item["version"]), item["value"])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise StoreError(f"the store's answer is no object: {item!r:.80}") from exc
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_store.py
@@ -0,0 +1,91 @@
+from collections.abc import Callable
+
+import httpx
+import pytest
+import trio
+from prometheus_client import CollectorRegistry
+
+from fescueseam.exceptions import ErrorKind, StoreConflictError, StoreError
+from fescueseam_daemon.control.store import HttpStore
+from fescueseam_daemon.store import OversizeValueError, ReplyLostError, StoreClient
+
+URL = "http://store.test"
+
+
+def make_client(handle: Callable[[httpx.Request], httpx.Response]) -> StoreClient:
+    transport = httpx.MockTransport(handle)
+    return StoreClient(httpx.AsyncClient(base_url=URL, transport=transport, timeout=1.0), 2.0)
+
+
+def put(handle: Callable[[httpx.Request], httpx.Response]) -> int:
+    return trio.run(make_client(handle).put, "tables/katalog", {}, 3)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "error"),
+    [
+        (412, {"version": 4}, StoreConflictError),
+        (413, {"limit": 1}, OversizeValueError),
+        (500, {}, ReplyLostError),
+        (200, {}, ReplyLostError),
+        (200, [], ReplyLostError),
+        (404, {}, StoreError),
+    ],
+)
+def test_answers_to_a_write_without_effect_are_typed(status, body, error) -> None:
+    with pytest.raises(error) as caught:
+        put(lambda request: httpx.Response(status, json=body))
+    assert type(caught.value) is error
+
+
+@pytest.mark.parametrize(
+    ("failure", "error"),
+    [
+        (httpx.ConnectError("refused"), StoreError),
+        (httpx.ConnectTimeout("late"), StoreError),
+        (httpx.ReadTimeout("late"), ReplyLostError),
+        (httpx.RemoteProtocolError("cut"), ReplyLostError),
+    ],
+)
+def test_only_a_call_that_was_sent_may_have_taken_effect(failure, error) -> None:
+    def handle(request: httpx.Request) -> httpx.Response:
+        raise failure
+
+    with pytest.raises(StoreError) as caught:
+        put(handle)
+    assert type(caught.value) is error
+    assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+def test_created_object_tells_its_version_and_condition() -> None:
+    def handle(request: httpx.Request) -> httpx.Response:
+        assert request.headers["If-Match"] == '"3"'
+        assert request.url.path == "/objects/tables/katalog"
+        return httpx.Response(201, json={"version": 4})
+
+    assert put(handle) == 4
+
+
+def test_watch_waits_for_its_time_and_the_margin() -> None:
+    def handle(request: httpx.Request) -> httpx.Response:
+        limits = request.extensions["timeout"]
+        assert (limits["connect"], limits["read"]) == (1.0, 32.0)
+        return httpx.Response(200, json={"revision": 9, "deleted": ["config"]})
+
+    changes = trio.run(make_client(handle).watch, "", 8, 30.0)
+    assert (changes.revision, changes.objects, changes.deleted) == (9, (), ("config",))
+
+
+def test_daemon_counts_calls_by_outcome() -> None:
+    registry = CollectorRegistry()
+
+    async def call() -> None:
+        # Nothing listens on port 9 of the loopback network's second address.
+        store = HttpStore("http://127.0.0.2:9", registry)
+        with pytest.raises(StoreError):
+            await store.get("config")
+        await store.close()
+
+    trio.run(call)
+    labels = {"call": "read", "outcome": "failed"}
+    assert registry.get_sample_value("fescueseam_store_calls_total", labels) == 1
