Take a request that replied for done after 0.04 s of silence

Cause: with hidden ends, every request kept its slot 0.1 s and up to a tick longer than it ran. Change: 0.04 s in place of 0.1 s.

--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -24,7 +24,7 @@
 """Bound how old a report may be, in seconds; a server that is warming up rests on it."""
 REPLY_PAUSE_S = 0.02
 """Take an answer after at least this much silence for a reply, not for part of the handshake."""
-REPLIED_IDLE_S = 0.1
+REPLIED_IDLE_S = 0.04
 """Take a request at a warm server for done once it has been silent this long after a reply."""
 IDLE_CHECK_S = 0.25
 """Look for idle flows this often, because there may be thousands."""
