--- a/packages/fescueseam/src/fescueseam/claims/__init__.py
+++ b/packages/fescueseam/src/fescueseam/claims/__init__.py
@@ -1,1 +1,5 @@
 """Grant the right to place a flow to one process at a time."""
+
+from fescueseam.claims.registry import ClaimRegistry, count_majority
+
+__all__ = ["ClaimRegistry", "count_majority"]
