--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 capacity: install
 	$(BIN)/python -m fescueseam_standins.capacity --seed $(SEED)
+	$(BIN)/python -m fescueseam_standins.capacity.state --seed $(SEED)
 
 soak: install
 	SEED=$(SEED) SOAK=1 $(BIN)/pytest -k soak
