--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -14,14 +14,14 @@
 from fescueseam.membership.rendezvous import choose_keepers
 from fescueseam.membership.reports import (
     MEMBERS_PREFIX,
-    KeptReport,
     Report,
+    ReportBook,
     ReportVersions,
     Sighting,
     build_report_key,
     decode_report,
     encode_report,
-    merge_reports,
+    parse_report_key,
 )
 from fescueseam.messages.types import Announce, AnnounceAnswer, Body, Message, Peer
 from fescueseam.routing.view import View
@@ -62,12 +62,15 @@
         self.membership = Membership(now)
         self.sightings: dict[str, Sighting] = {}
         self._versions = ReportVersions(incarnation)
-        self._reports: dict[str, KeptReport] = {}
+        self._reports = ReportBook()
+        self._merged: tuple[int, frozenset[str]] | None = None
+        self._listed: tuple[int, frozenset[str]] = (-1, frozenset())
         self._suspects: dict[str, VersionedValue] = {}
         self._told_at: dict[str, float] = {}
         self._missing: dict[str, float] = {}
         self._merged_at = float("-inf")
         self._live: list[str] = []
+        self._accused: frozenset[str] = frozenset()
         self._ranks: dict[str, int] = {}
 
     # Parts of this balancer
@@ -115,8 +118,7 @@
         if now - self._merged_at >= MERGE_INTERVAL_S:
             self._merge(now)
             sends += self._tell_suspects(now)
-        live = [name for name in self.list_live() if self.find_peer(name) is not None]
-        for outgoing in self.gossip.tick(now, live):
+        for outgoing in self.gossip.tick(now, self._live):
             sends += self._send_named(outgoing.peer, outgoing.body)
         return [*sends, *super().tick(now)]
 
@@ -220,18 +222,18 @@
         for value in values:
             if not value.key.startswith(MEMBERS_PREFIX):
                 continue
-            if value.deleted:
-                self._reports.pop(value.key, None)
-            else:
+            try:
                 self._take_report(value)
+            except MessageError:
+                self.faults += 1
 
     def _take_report(self, value: VersionedValue) -> None:
-        try:
-            kept = decode_report(value)
-        except MessageError:
-            self.faults += 1
+        key = parse_report_key(value.key)
+        if value.deleted:
+            self._reports.drop(key.keeper, key.name)
             return
-        self._reports[value.key] = kept
+        kept = decode_report(value)
+        self._reports.put(kept)
         facts = kept.report.facts
         if facts.role is Role.BALANCER and kept.report.status is Status.ALIVE:
             self.book.learn(to_peer(facts))
@@ -259,16 +261,23 @@
     def _merge(self, now: float) -> None:
         self._merged_at = now
         heard = [peer.name for peer in self.book.list_heard(now, DEAD_AFTER_S)]
-        reached = [self.settings.name, *heard]
-        self.sightings = merge_reports(self._reports.values(), reached)
+        reachable = self._reports.find_reachable([self.settings.name, *heard])
+        state = self._reports.revision, reachable
+        # Merging costs time for every process there is, so it waits for a change.
+        if state != self._merged:
+            self._merged = state
+            self.sightings = self._reports.merge(reachable)
+            self._add_heard(heard)
+            self._note_live()
+            self._withdraw_moved()
+        self.view.set_suspects(self._find_suspects(now))
+
+    def _add_heard(self, heard: Iterable[str]) -> None:
         for name in heard:
             peer = self.book.find(name)
             known = self.sightings.get(name)
             if peer is not None and (known is None or known.status is not Status.ALIVE):
                 self.sightings[name] = Sighting(_to_facts(peer), Status.ALIVE, 1)
-        self._note_live()
-        self._withdraw_moved()
-        self.view.set_suspects(self._find_suspects(now))
 
     def _note_live(self) -> None:
         live = [
@@ -282,18 +291,25 @@
             # Ranks depend on who is alive and on nothing else.
             self._ranks.clear()
         self._live = live
-
-    def _find_suspects(self, now: float) -> frozenset[str]:
-        suspects = {
+        self._accused = frozenset(
             name
             for name, sighting in self.sightings.items()
             if sighting.status is not Status.ALIVE and sighting.facts.role is Role.AGENT
-        }
-        listed = {member.name for table in self.view.list_tables() for member in table.members}
-        unseen = listed - self.sightings.keys()
+        )
+
+    def _find_suspects(self, now: float) -> frozenset[str]:
+        unseen = self._list_members() - self.sightings.keys()
         self._missing = {name: self._missing.get(name, now) for name in unseen}
         late = {name for name, since in self._missing.items() if now - since >= MISSING_SUSPECT_S}
-        return frozenset(suspects | late)
+        return self._accused | late
+
+    def _list_members(self) -> frozenset[str]:
+        revision, listed = self._listed
+        if revision != self.view.revision:
+            tables = self.view.list_tables()
+            listed = frozenset(member.name for table in tables for member in table.members)
+            self._listed = self.view.revision, listed
+        return listed
 
     def _tell_suspects(self, now: float) -> list[Send]:
         sends: list[Send] = []
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -34,6 +34,8 @@
 RETRY_S = 0.35
 """Announce again, and to the stand-in too, when no answer has come for this time."""
 KEEPERS = 2
+KEEPERS_INTERVAL_S = 0.1
+"""Choose keepers anew this often."""
 SYNC_INTERVAL_S = 0.4
 """Send what a lagging peer lacks at most once in this time."""
 SYNCS_LIMIT = 4096
@@ -56,6 +58,7 @@
 
     lease_from: float = float("-inf")
     """Hold when the latest heartbeat that was answered had been sent."""
+    keepers_at: float = float("-inf")
     announce_at: dict[Peer, float] = field(factory=dict)
     """Map each keeper to the latest announcement to it."""
     synced: dict[str, float] = field(factory=dict)
@@ -199,6 +202,13 @@
     # Announcements
 
     def _announce(self, now: float) -> list[Send]:
+        if now - self._clocks.keepers_at >= KEEPERS_INTERVAL_S:
+            self._clocks.keepers_at = now
+            self._refresh_keepers(now)
+        due = [peer for peer in self._clocks.announce_at if self._is_due(peer, now)]
+        return [self._announce_to(peer, now) for peer in due]
+
+    def _refresh_keepers(self, now: float) -> None:
         keepers = self._choose_keepers(now)
         first, stand_ins = list(keepers.first), []
         if any(self.book.is_late(peer.name, now, RETRY_S) for peer in first):
@@ -211,8 +221,6 @@
         self._clocks.announce_at = {
             peer: known.get(peer, float("-inf")) for peer in (*first, *stand_ins)
         }
-        due = [peer for peer in self._clocks.announce_at if self._is_due(peer, now)]
-        return [self._announce_to(peer, now) for peer in due]
 
     def _is_due(self, keeper: Peer, now: float) -> bool:
         since_s = now - self._clocks.announce_at[keeper]
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tables.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tables.py
@@ -13,6 +13,9 @@
 from fescueseam.upkeep.planner import Wanted
 from fescueseam_daemon.control.balancer_node import STAND_INS, BalancerNode
 
+IDLE_STEP_S = 0.8
+"""Step keepers this often while nothing changes; shorter than what they take for a pause."""
+
 
 @frozen
 class TableStep:
@@ -31,12 +34,15 @@
         self.breaker = Breaker(rng)
         self._node = node
         self._rng = rng
+        self._seen: tuple[object, ...] = ()
+        self._common: _Common | None = None
+        self._stepped_at = float("-inf")
 
     def list_steps(self, now: float) -> list[TableStep]:
         """Return the calls that are due."""
         node = self._node
         cfg = node.gossip.configuration
-        if not node.gossip.is_current(now):
+        if not node.gossip.is_current(now) or self._is_idle(now):
             return []
         ranks = {
             service.name: rank
@@ -44,7 +50,7 @@
             if (rank := node.find_rank(TABLES_PREFIX + service.name)) < STAND_INS
         }
         self.keepers = {name: self._keep(name, now) for name in ranks}
-        wanted = _Common.collect(cfg, node.sightings)
+        wanted = self._collect(cfg)
         steps = []
         for service, keeper in self.keepers.items():
             given = KeeperInput(wanted.select(keeper), ranks[service], wanted.visible)
@@ -53,6 +59,23 @@
                 steps.append(TableStep(keeper, call))
         return steps
 
+    def _is_idle(self, now: float) -> bool:
+        """Tell whether nothing has changed and no keeper waits for anything."""
+        node = self._node
+        seen = (id(node.sightings), node.gossip.configuration.version, node.view.revision)
+        is_same, self._seen = seen == self._seen, seen
+        is_busy = any(keeper.is_busy for keeper in self.keepers.values())
+        if is_same and not is_busy and now - self._stepped_at < IDLE_STEP_S:
+            return True
+        self._stepped_at = now
+        return False
+
+    def _collect(self, cfg: Configuration) -> "_Common":
+        common = self._common
+        if common is None or common.by_name is not self._node.sightings or common.cfg is not cfg:
+            common = self._common = _Common.collect(cfg, self._node.sightings)
+        return common
+
     def _keep(self, service: str, now: float) -> TableKeeper:
         keeper = self.keepers.get(service)
         if keeper is None:
@@ -69,6 +92,7 @@
 class _Common:
     """Hold what the keepers of all services share in one round."""
 
+    cfg: Configuration
     by_service: dict[str, dict[str, Sighting]]
     by_name: dict[str, Sighting]
     drained: frozenset[str]
@@ -90,6 +114,7 @@
             if sighting.status is Status.ALIVE and is_newer:
                 owners[place] = sighting
         return cls(
+            cfg,
             by_service,
             sightings,
             frozenset(rule.name for rule in cfg.endpoints if rule.drain),
--- a/packages/fescueseam/src/fescueseam/membership/reports.py
+++ b/packages/fescueseam/src/fescueseam/membership/reports.py
@@ -45,6 +45,22 @@
     return f"{MEMBERS_PREFIX}{data_centre}/{keeper}/{facts.service or BALANCERS}/{facts.name}"
 
 
+@frozen
+class ReportKey:
+    """Name the keeper and the process of a report."""
+
+    keeper: str
+    name: str
+
+
+def parse_report_key(key: str) -> ReportKey:
+    """Return what a key names; raise MessageError if it is no key of a report."""
+    parts = key.split("/", 4)
+    if len(parts) != 5:
+        raise MessageError(f"no report: {key}")
+    return ReportKey(parts[2], parts[4])
+
+
 def encode_report(report: Report) -> bytes:
     """Return the bytes of a report; health has no part in it."""
     plain = evolve(report, facts=evolve(report.facts, healthy=True))
@@ -53,8 +69,9 @@
 
 def decode_report(value: VersionedValue) -> KeptReport:
     """Return the report that a value holds and who made it; raise MessageError on garbage."""
+    key = parse_report_key(value.key)
     try:
-        return KeptReport(value.key.split("/")[2], _converter.loads(value.value, Report))
+        return KeptReport(key.keeper, _converter.loads(value.value, Report))
     except (BaseValidationError, ValueError, TypeError, LookupError) as exc:
         raise MessageError(f"no report: {value.key}") from exc
 
@@ -85,37 +102,63 @@
     """Count the reachable keepers that report on the process."""
 
 
-def merge_reports(reports: Iterable[KeptReport], reached: Iterable[str]) -> dict[str, Sighting]:
-    """Return one sighting for each process.
+class ReportBook:
+    """Keep the reports of all keepers and merge them when something has changed.
 
     Only keepers that can be reached count: starting from the processes heard directly, a
     keeper counts if a keeper that counts reports it alive. A newer incarnation replaces an
     older one; among equal ones the most favourable status wins, because one keeper that hears
     a process proves more than one that does not.
     """
-    by_keeper: dict[str, list[Report]] = {}
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.revision = 0
+        """Count the changes."""
+        self._by_keeper: dict[str, dict[str, Report]] = {}
+        self._live_balancers: dict[str, set[str]] = {}
+
+    def put(self, kept: KeptReport) -> None:
+        """Take a report in place of the keeper's former one on the same process."""
+        facts = kept.report.facts
+        self.revision += 1
+        self._by_keeper.setdefault(kept.keeper, {})[facts.name] = kept.report
+        live = self._live_balancers.setdefault(kept.keeper, set())
+        live.discard(facts.name)
+        if facts.role is Role.BALANCER and kept.report.status is Status.ALIVE:
+            live.add(facts.name)
+
+    def drop(self, keeper: str, name: str) -> None:
+        """Forget a keeper's report on a process."""
+        self.revision += 1
+        self._by_keeper.get(keeper, {}).pop(name, None)
+        self._live_balancers.get(keeper, set()).discard(name)
+
+    def find_reachable(self, reached: Iterable[str]) -> frozenset[str]:
+        """Return the processes that are heard directly or through one another."""
+        reachable = set(reached)
+        frontier = list(reachable)
+        while frontier:
+            new = self._live_balancers.get(frontier.pop(), set()) - reachable
+            reachable |= new
+            frontier += new
+        return frozenset(reachable)
+
+    def merge(self, reachable: Iterable[str]) -> dict[str, Sighting]:
+        """Return one sighting for each process that a reachable keeper reports on."""
+        merged: dict[str, Sighting] = {}
+        for keeper in sorted(reachable):
+            for name, report in self._by_keeper.get(keeper, {}).items():
+                merged[name] = _merge(merged.get(name), report)
+        return merged
+
+
+def merge_reports(reports: Iterable[KeptReport], reached: Iterable[str]) -> dict[str, Sighting]:
+    """Return one sighting for each process, from the processes heard directly."""
+    book = ReportBook()
     for kept in reports:
-        by_keeper.setdefault(kept.keeper, []).append(kept.report)
-    merged: dict[str, Sighting] = {}
-    for keeper in sorted(find_reachable(by_keeper, reached)):
-        for report in by_keeper.get(keeper, ()):
-            known = merged.get(report.facts.name)
-            merged[report.facts.name] = _merge(known, report)
-    return merged
-
-
-def find_reachable(by_keeper: dict[str, list[Report]], reached: Iterable[str]) -> set[str]:
-    """Return the processes that are heard directly or through one another."""
-    reachable = set(reached)
-    frontier = list(reachable)
-    while frontier:
-        for report in by_keeper.get(frontier.pop(), ()):
-            name = report.facts.name
-            is_new = name not in reachable
-            if is_new and report.status is Status.ALIVE and report.facts.role is Role.BALANCER:
-                reachable.add(name)
-                frontier.append(name)
-    return reachable
+        book.put(kept)
+    return book.merge(book.find_reachable(reached))
 
 
 def _merge(known: Sighting | None, report: Report) -> Sighting:
--- a/packages/fescueseam/src/fescueseam/upkeep/keeper.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/keeper.py
@@ -94,6 +94,11 @@
         self._joined_at = now
         self._first_joiner_at: float | None = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a change is due or under way."""
+        return self._due_since is not None or self._pending is not None or self._in_flight
+
     def learn(self, table: Table, now: float, version: int | None = None) -> None:
         """Take a table that came by gossip or by a watch; an older one has no effect."""
         if table.epoch > self.table.epoch:
