--- a/packages/fescueseam-cli/src/fescueseam_cli/tests/test_reference.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/tests/test_reference.py
@@ -72,3 +72,20 @@
     for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
         if "://" not in target:
             assert (page.parent / target).exists(), target
+
+
+def test_index_has_a_row_for_each_page() -> None:
+    docs = ROOT / "docs"
+    index = (docs / "README.md").read_text()
+    pages = {str(page.relative_to(docs)) for page in docs.rglob("*.md")} - {"README.md"}
+    missing = [page for page in sorted(pages) if f"]({page})" not in index]
+    assert not missing, "add a row to docs/README.md"
+
+
+TOPICS = sorted((ROOT / "docs" / "topics").glob("*.md"))
+
+
+@pytest.mark.parametrize("page", TOPICS, ids=lambda page: page.name)
+def test_topics_name_error_kinds_that_exist(page: Path) -> None:
+    named = set(re.findall(r'kind="([a-z-]+)"', page.read_text()))
+    assert named <= {str(kind) for kind in KINDS}
