Generate the page of metrics and give example alerts and a dashboard

Cause: the metrics were known only from the code, and pages could name ones that do not exist. Change: fescueseam_daemon.reference writes docs/reference/metrics.md from the registries; examples hold a rule file (JSON, which a YAML reader takes) and a dashboard. Tests hold the page current and every series, label and error kind that the examples name, and every metric that any page names, to those served. Ruled out: meanings inside the metrics' help texts, which are the daemon's and say less than a page can.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
@@ -10,17 +10,22 @@
 """Bound the calls of one process that are under way at once."""
 
 
+def count_calls(registry: CollectorRegistry) -> Counter:
+    """Return the counter of the store's calls."""
+    return Counter(
+        "fescueseam_store_calls_total",
+        "Calls of the object API, by kind and outcome.",
+        ("call", "outcome"),
+        registry=registry,
+    )
+
+
 class HttpStore(StoreClient):
     """Own the HTTP client of a daemon and count its calls."""
 
     def __init__(self, url: str, registry: CollectorRegistry) -> None:
         """Prepare the client; nothing is sent before the first call."""
-        calls = Counter(
-            "fescueseam_store_calls_total",
-            "Calls of the object API, by kind and outcome.",
-            ("call", "outcome"),
-            registry=registry,
-        )
+        calls = count_calls(registry)
         client = httpx.AsyncClient(
             base_url=url,
             timeout=CALL_TIMEOUT_S,
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
@@ -0,0 +1,90 @@
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from fescueseam.effects import Measure
+from fescueseam.exceptions import ErrorKind
+from fescueseam_daemon.reference import (
+    MEANINGS,
+    PAGE,
+    find_name,
+    list_metrics,
+    make_registry,
+    render_metrics_page,
+)
+
+ROOT = Path(__file__).parents[5]
+EXAMPLES = ROOT / "examples" / "observability"
+ADDED_LABELS = {"job", "instance", "le"}
+"""List labels that come from the scraper or stand on every histogram."""
+SERIES = {"histogram": ("_bucket", "_sum", "_count"), "counter": ("",), "gauge": ("",)}
+
+
+@pytest.fixture(scope="module")
+def labels_of() -> dict[str, set[str]]:
+    """Map each served series to its labels."""
+    served = {}
+    for metric in list_metrics(make_registry()):
+        kind = next(iter(metric.describe())).type
+        for suffix in SERIES[kind]:
+            served[find_name(metric) + suffix] = set(metric._labelnames)
+    return served
+
+
+def list_expressions() -> list[str]:
+    rules = json.loads((EXAMPLES / "alerts.json").read_text())["groups"][0]["rules"]
+    panels = json.loads((EXAMPLES / "dashboard.json").read_text())["panels"]
+    targets = [target for panel in panels for target in panel["targets"]]
+    return [item["expr"] for item in (*rules, *targets)]
+
+
+def test_metrics_page_is_current() -> None:
+    page = (ROOT / PAGE).read_text()
+    assert page == render_metrics_page(), "run python -m fescueseam_daemon.reference"
+
+
+def test_every_measure_has_a_meaning() -> None:
+    assert len(MEANINGS) == len(Measure)
+
+
+def test_page_lists_what_a_daemon_registers(labels_of: dict[str, set[str]]) -> None:
+    assert {"fescueseam_store_calls_total", "fescueseam_refused_total"} <= set(labels_of)
+
+
+@pytest.mark.parametrize("expression", list_expressions())
+def test_expressions_name_series_and_labels_that_exist(
+    expression: str, labels_of: dict[str, set[str]]
+) -> None:
+    named = set(re.findall(r"\bfescueseam_\w+", expression))
+    assert named <= set(labels_of)
+    known = ADDED_LABELS.union(*(labels_of[name] for name in named))
+    selected = set(re.findall(r"(\w+)=", expression))
+    grouped = {
+        label
+        for labels in re.findall(r"\bby \(([^)]*)\)", expression)
+        for label in labels.split(", ")
+    }
+    assert selected | grouped <= known
+    kinds = re.findall(r'kind=~?"([^"]+)"', expression)
+    assert {kind for text in kinds for kind in text.split("|")} <= set(ErrorKind)
+    assert expression.count("(") == expression.count(")")
+
+
+def test_alerts_lead_to_pages() -> None:
+    rules = json.loads((EXAMPLES / "alerts.json").read_text())["groups"][0]["rules"]
+    assert len({rule["alert"] for rule in rules}) == len(rules)
+    for rule in rules:
+        assert (ROOT / rule["annotations"]["runbook"]).exists()
+
+
+PAGES = [*(ROOT / "docs").rglob("*.md")]
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: str(page.relative_to(ROOT)))
+def test_pages_name_metrics_that_exist(page: Path, labels_of: dict[str, set[str]]) -> None:
+    families = {find_name(metric) for metric in list_metrics(make_registry())}
+    packages = {"fescueseam_cli", "fescueseam_daemon", "fescueseam_standins"}
+    named = set(re.findall(r"\bfescueseam_[a-z_]+", page.read_text()))
+    assert named - packages <= families | set(labels_of)
