Let an agent believe its first keeper on who is suspected

Agents took the intersection of what all keepers heard lately said. A stand-in that was asked once, after a late answer, had no list yet and cleared the suspects.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
@@ -29,13 +29,14 @@
             self.update_suspects(now)
 
     def update_suspects(self, now: float) -> None:
-        """Suspect the members that every keeper heard lately suspects."""
+        """Take the suspects of the first keeper that was heard and has named any."""
         prefix = f"{SUSPECTS_PREFIX}{self.settings.service}/"
-        lists: list[frozenset[str]] = []
-        for keeper in self.book.list_heard(now, LEASE_S):
-            value = self.gossip.values.get(prefix + keeper.name)
-            lists.append(read_suspects(value) if value is not None else frozenset())
-        suspects = frozenset.intersection(*lists) if lists else frozenset()
+        heard = [peer.name for peer in self.book.list_heard(now, LEASE_S)]
+        first = [peer.name for peer in self._choose_keepers(now).first]
+        ordered = sorted(heard, key=lambda name: (name not in first, name))
+        found = (self.gossip.values.get(prefix + name) for name in ordered)
+        value = next((value for value in found if value is not None), None)
+        suspects = read_suspects(value) if value is not None else frozenset()
         self.view.set_suspects(suspects - {self.settings.name})
 
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
@@ -98,3 +98,21 @@
     sends = node.tick(0.0)
     assert [(send.address, send.port) for send in sends] == [("10.0.0.9", 7000)]
     assert isinstance(sends[0].message.body, types.Announce)
+
+
+def test_an_agent_believes_its_first_keeper_on_who_is_suspected():
+    node = make_node(Role.AGENT)
+    peers = tuple(
+        types.Peer(name, "balancer", "solo", "jawa-tengah", f"10.0.0.{index}", 7000, 1)
+        for index, name in enumerate(("b0", "b1"), 2)
+    )
+    node.handle(types.Message("b0", 1, types.AnnounceAnswer(peers, 0), target="own"), 0.0)
+    first = node._choose_keepers(0.0).first[0].name
+    stand_in = next(peer.name for peer in peers if peer.name != first)
+    for keeper, names in ((first, b'["a1"]'), (stand_in, b"[]")):
+        value = types.Value(f"suspects/katalog/{keeper}", 5, keeper, names)
+        message = types.Message(keeper, 1, types.GossipValues((value,)), target="own")
+        node.handle(message, 1.0)
+    assert node.view.suspects == {"a1"}
+    node.update_suspects(100.0)
+    assert node.view.suspects == frozenset(), "nobody was heard for long"
--- a/packages/fescueseam-standins/src/fescueseam_standins/capacity/state.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/capacity/state.py
@@ -162,7 +162,7 @@
     """Return a recorder that knows so many homes."""
     agent = make_site().agent
     for number in range(size):
-        agent.recorder.homes[make_flow(number)] = Home("server-1", 1)
+        agent.recorder.homes.add(make_flow(number), Home("server-1", 1))
     return agent
 
 
--- a/packages/fescueseam/src/fescueseam/membership/detector.py
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -20,6 +20,9 @@
 MEMBERS_LIMIT = 4096
 
 
+_NEW_KINDS = (EventKind.RESTARTED, EventKind.RECOVERED)
+
+
 @define
 class Record:
     """Keep one process with what its last heartbeat said."""
@@ -31,7 +34,7 @@
     config_version: int = 0
     epoch: int = 0
     count: int = 1
-    """Count the heartbeats heard of this process."""
+    """Count the heartbeats heard since the process started or was silent."""
 
 
 @frozen
@@ -74,6 +77,8 @@
         if not _is_newer(announcement, record):
             return []
         events = _compare(record, announcement.facts)
+        if any(event.kind in _NEW_KINDS for event in events):
+            record.count = 0
         record.facts = announcement.facts
         record.heartbeat = announcement.heartbeat
         record.count += 1
