--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/tests/test_ablations.py
@@ -0,0 +1,229 @@
+"""Show each check failing: without the mechanism that carries it, the promise breaks."""
+
+import os
+
+import pytest
+from attrs import evolve
+
+from fescueseam.admission.gate import Gate, Verdict
+from fescueseam.agent.core import Agent
+from fescueseam.agent.home import Home
+from fescueseam.claims.registry import ClaimRegistry
+from fescueseam.flows.table import FlowRecord, FlowTable
+from fescueseam.packets.adapter import parse_packet
+from fescueseam.placement.recorder import Recorder
+from fescueseam.routing import view as view_module
+from fescueseam.routing.table import Row, compute_row
+from fescueseam.routing.view import View
+from fescueseam.versions.gossip import Gossip
+from fescueseam_standins.scenarios import actions
+from fescueseam_standins.scenarios.parsing import parse_scenario
+from fescueseam_standins.scenarios.running import run_scenario
+from fescueseam_standins.world import hosts, world
+
+SEED = int(os.environ.get("SEED", "1"))
+
+LEAVING_HOMES = """
+on ribera-norte
+views late by 300ms
+traffic alerts of bitacora: 20/s lasting 40s to 4s
+at 5s leave bitacora-1
+at 6s leave bitacora-2
+at 7s replace entry-1
+run for 40s
+"""
+ADDRESS_TAKEN = """
+on ribera-norte
+views late by 3s
+traffic alerts of bitacora: 20/s lasting 20s to 12s
+traffic photos of acopio: 10/s lasting 200ms to 12s
+at 5s kill bitacora-3
+at 6s add acopio-4 to acopio in almacen-sur at address of bitacora-3
+run for 30s
+"""
+SILENT_RETURN = """
+on lintang
+traffic reservations of katalog: 150/s lasting 150ms to 5s
+every 1s from 2250ms to 5s: cool katalog-1 then cool katalog-3 then cool katalog-5
+run for 8s
+"""
+TAKEN_OUT_ASLEEP = """
+on lintang
+traffic listings of katalog: 20/s lasting 30s to 4s
+at 4s freeze katalog-2 for 6s
+at 4500ms take out solo
+run for 12s
+"""
+LONG_REQUESTS = """
+on ribera-norte
+traffic repairs of bitacora: 6/s lasting 800ms to 8s
+run for 50s
+"""
+CROSSED = """
+on lintang
+views late by 2s
+traffic reservations of katalog: 50/s lasting 300ms to 6s
+at 0s network loses 3% duplicates 30% reorders 30%
+every 100ms from 1s to 6s: cross reservations of katalog
+every 2s from 2s to 6s: freeze katalog-1 for 2s then freeze katalog-5 for 1s
+every 1s from 3s to 6s: suspect katalog-3 for 2s then leave katalog-2
+run for 20s
+"""
+OVERLOADED = """
+on ribera-norte
+traffic repairs of bitacora: 60/s lasting 150ms to 4s
+traffic uploads of acopio: 20/s lasting 200ms to 4s
+every 500ms from 1s to 4s: cut bitacora-1 to * for 450ms then cut acopio-1 to * for 450ms
+run for 20s
+"""
+DRAINED = """
+on ribera-norte
+traffic repairs of bitacora: 40/s lasting 100ms to 12s
+at 3s drain bitacora-1
+run for 30s
+"""
+SHUT_DOWN = """
+on lintang
+traffic reservations of katalog: 40/s lasting 400ms to 10s
+at 5s shut down katalog-1
+at 6s shut down katalog-2
+run for 50s
+"""
+STORE_GONE = """
+on ribera-norte
+traffic repairs of bitacora: 5/s lasting 100ms to 20s
+at 3s accept
+at 3010ms store down for 15s
+at 19s store stale for 5s
+at 20s accept
+run for 30s
+"""
+
+
+def forget_owners(patch):
+    def compute(table, bucket):
+        return Row(compute_row(table, bucket).candidates, ())
+
+    patch.setattr(view_module, "compute_row", compute)
+    patch.setattr(Home, "adopt", lambda *args: None)
+
+
+def check_no_service(patch):
+    def handle(self, message, now):
+        own = evolve(message, target=self.name, service=self.service)
+        return genuine(self, own, now)
+
+    def read(self, raw):
+        packet = parse_packet(raw)
+        service = self.view.find_service(packet.flow.destination)
+        return packet, self.view.find_class(service.name, packet.flow.destination_port)
+
+    genuine = Agent.handle_message
+    patch.setattr(Agent, "handle_message", handle)
+    patch.setattr(Agent, "_read_packet", read)
+
+
+def verify_nothing(patch):
+    genuine = Gate.judge
+
+    def judge(self, *args):
+        verdict = genuine(self, *args)
+        return Verdict.ADMIT if verdict is Verdict.VERIFY else verdict
+
+    patch.setattr(Gate, "judge", judge)
+
+
+def bar_nothing(patch):
+    patch.setattr(Agent, "_find_bar", lambda self: None)
+
+
+def keep_no_quarantine(patch):
+    patch.setattr(hosts.AgentHost, "_find_socket", find_any_socket)
+    patch.setattr(FlowRecord, "is_idle", lambda self, now: now >= self.last_seen + 0.1)
+
+
+def find_any_socket(self, flow):
+    socket = self._by_flow.get(flow)
+    if socket is None:
+        socket = self._resting.popleft() if self._resting else hosts.LocalSocket()
+        socket.flow = flow
+        self._by_flow[flow] = socket
+    return socket
+
+
+def refuse_early(patch):
+    def end_unresolved(self, opening, now):
+        return self._refuse(opening, now)
+
+    def give_up(self, opening, *args):
+        return self._refuse(opening, opening.started)
+
+    patch.setattr(Recorder, "_end_unresolved", end_unresolved)
+    patch.setattr(Recorder, "_give_up", give_up)
+
+
+def forget_turned_down(patch):
+    patch.setattr(Home, "is_refusing", lambda *args: False)
+    patch.setattr(Home, "turn_down", lambda *args: None)
+
+
+def grant_always(patch):
+    patch.setattr(ClaimRegistry, "grant", lambda *args: True)
+    patch.setattr(FlowTable, "has_run", lambda *args: False)
+
+
+def drain_never(patch):
+    patch.setattr(Agent, "update_draining", lambda self, reported: None)
+
+
+def wait_never(patch):
+    patch.setattr(actions, "SHUTDOWN_LIMIT_S", 0.0)
+
+
+def gossip_never(patch):
+    patch.setattr(world.World, "carry_control", lambda *args: None)
+    patch.setattr(hosts.Host, "follow_lease", lambda self: None)
+
+
+def take_older(patch):
+    def set_configuration(self, cfg):
+        if cfg.version < self.cfg.version:
+            self.cfg = cfg
+            return True
+        return genuine(self, cfg)
+
+    def put_configuration(self, cfg, writer):
+        self.view.in_force = cfg
+        return True
+
+    genuine = View.set_configuration
+    patch.setattr(View, "set_configuration", set_configuration)
+    patch.setattr(Gossip, "put_configuration", put_configuration)
+
+
+ABLATIONS = [
+    ("streams-survive", LEAVING_HOMES, forget_owners),
+    ("services-apart", ADDRESS_TAKEN, check_no_service),
+    ("cold-start", SILENT_RETURN, verify_nothing),
+    ("data-centre-out", TAKEN_OUT_ASLEEP, bar_nothing),
+    ("own-answer", LONG_REQUESTS, keep_no_quarantine),
+    ("refusals-true", OVERLOADED, refuse_early),
+    ("refusals-true", CROSSED, forget_turned_down),
+    ("at-most-once", CROSSED, grant_always),
+    ("leaving", DRAINED, drain_never),
+    ("graceful-shutdown", SHUT_DOWN, wait_never),
+    ("configuration", STORE_GONE, gossip_never),
+    ("configuration", STORE_GONE, take_older),
+]
+
+
+@pytest.mark.parametrize(
+    ("promise", "text", "ablate"),
+    ABLATIONS,
+    ids=[f"{promise}-{ablate.__name__}" for promise, _, ablate in ABLATIONS],
+)
+def test_promise_breaks_without_its_mechanism(promise, text, ablate, monkeypatch):
+    scenario = parse_scenario(text)
+    assert run_scenario(scenario, SEED).count_violations()[promise] == 0
+    ablate(monkeypatch)
+    assert run_scenario(scenario, SEED).count_violations()[promise] > 0
--- /dev/null
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/tests/test_histories.py
@@ -0,0 +1,150 @@
+"""Hold every promise over random histories of changes and failures."""
+
+import os
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from fescueseam_standins.scenarios.actions import apply_action
+from fescueseam_standins.scenarios.models import Action, Scenario, Verb
+from fescueseam_standins.scenarios.monitor import Monitor
+from fescueseam_standins.scenarios.promises import check_promises
+from fescueseam_standins.scenarios.running import build_world
+
+SEED = int(os.environ.get("SEED", "1"))
+SOAK = bool(os.environ.get("SOAK"))
+CI_EXAMPLES, CI_STEPS = 20, 50
+FEW_EXAMPLES = 3
+SOAK_EXAMPLES, SOAK_STEPS = 400, 100
+SPREAD_S = 0.5
+STEP_S = 0.2
+SETTLE_S = 40.0
+
+SERVERS = [f"bitacora-{number}" for number in range(1, 8)]
+ENTRIES = ["entry-1", "entry-2", "entry-3"]
+CENTRES = ["esclusa-uno", "esclusa-dos", "almacen-sur"]
+servers = st.sampled_from(SERVERS)
+entries = st.sampled_from(ENTRIES)
+short_s = st.sampled_from([0.1, 0.4, 1.0, 2.5])
+
+
+class History(RuleBasedStateMachine):
+    """Change, break and load one deployment; every promise is an invariant."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = build_world(Scenario("history", "ribera-norte", 0.0), SEED)
+        self.world.network.rng.seed(SEED)
+        self.monitor = Monitor(self.world)
+        self.world.start()
+        self.monitor.start()
+        self.out = set()
+        self.run(0.5)
+
+    def run(self, time_s):
+        self.world.run_until(self.world.timeline.now + time_s)
+
+    def do(self, verb, *names, numbers=()):
+        apply_action(self.world, Action(verb, names, tuple(numbers)), SPREAD_S)
+        self.run(STEP_S)
+
+    @rule(count=st.integers(1, 12), size_s=st.sampled_from([0.02, 0.15, 0.6]))
+    def open_repairs(self, count, size_s):
+        for _ in range(count):
+            self.world.open_call("bitacora", "repairs", size_s)
+        self.run(STEP_S)
+
+    @rule(count=st.integers(1, 6))
+    def open_alerts(self, count):
+        for _ in range(count):
+            self.world.open_call("bitacora", "alerts", 20.0)
+        self.run(STEP_S)
+
+    @rule(count=st.integers(1, 6))
+    def open_uploads(self, count):
+        for _ in range(count):
+            self.world.open_call("acopio", "uploads", 0.2)
+        self.run(STEP_S)
+
+    @rule()
+    def cross(self):
+        self.do(Verb.CROSS, "repairs", "bitacora")
+
+    @rule(name=servers, time_s=short_s)
+    def freeze(self, name, time_s):
+        self.do(Verb.FREEZE, name, numbers=[time_s])
+
+    @rule(name=entries, time_s=short_s)
+    def freeze_entry(self, name, time_s):
+        self.do(Verb.FREEZE, name, numbers=[time_s])
+
+    @rule(name=entries)
+    def replace(self, name):
+        self.do(Verb.REPLACE, name)
+
+    @rule(source=servers, reached=servers, time_s=short_s)
+    def cut(self, source, reached, time_s):
+        self.do(Verb.CUT, source, reached, numbers=[time_s])
+
+    @rule(name=servers)
+    def cool(self, name):
+        self.do(Verb.COOL, name)
+
+    @rule(name=servers, leave=st.booleans())
+    def leave(self, name, leave):
+        self.do(Verb.LEAVE if leave else Verb.REJOIN, name)
+
+    @rule(name=servers, drain=st.booleans())
+    def drain(self, name, drain):
+        self.do(Verb.DRAIN if drain else Verb.UNDRAIN, name)
+
+    @rule(name=st.sampled_from(CENTRES))
+    def switch_data_centre(self, name):
+        verb = Verb.BRING_BACK if name in self.out else Verb.TAKE_OUT
+        self.out ^= {name}
+        self.do(verb, name)
+
+    @rule(name=servers, time_s=short_s)
+    def suspect(self, name, time_s):
+        self.do(Verb.SUSPECT, name, numbers=[time_s])
+
+    @rule(loss=st.sampled_from([0, 2]), duplicate=st.sampled_from([0, 20]))
+    def shake(self, loss, duplicate):
+        self.do(Verb.NETWORK, numbers=[loss, duplicate, 10])
+
+    @rule(time_s=short_s)
+    def lose_store(self, time_s):
+        self.do(Verb.STORE_DOWN, numbers=[time_s])
+
+    @rule(time_s=st.sampled_from([1.0, 4.0]))
+    def wait(self, time_s):
+        self.run(time_s)
+
+    @invariant()
+    def promises_hold(self):
+        assert check_promises(self.world, self.monitor) == []
+
+    def teardown(self):
+        self.run(SETTLE_S)
+        self.promises_hold()
+
+
+def run_histories(examples, steps):
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(seed(SEED)(History), settings=chosen)
+
+
+def test_promises_hold_over_random_histories():
+    run_histories(CI_EXAMPLES, CI_STEPS)
+
+
+def test_promises_hold_over_random_histories_soak():
+    run_histories(SOAK_EXAMPLES if SOAK else FEW_EXAMPLES, SOAK_STEPS)
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/backend.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/backend.py
@@ -7,7 +7,7 @@
 from attrs import define, field, frozen
 
 from fescueseam.admission.gate import LoadReport
-from fescueseam.conf.models import AdmissionRules, FlowKind, ServiceClass
+from fescueseam.conf.models import AdmissionRules, FlowKind, ServiceClass, Transport
 from fescueseam.flows.keys import FlowKey
 
 from .timeline import Timeline
@@ -51,6 +51,12 @@
     reply: Reply
     running: bool = False
 
+    @property
+    def answers_once(self) -> bool:
+        """Tell whether the only answer is the whole one, as for a plain datagram service."""
+        plain = self.service_class.transport is Transport.UDP
+        return plain and self.service_class.kind is FlowKind.REQUEST
+
 
 @frozen
 class LoadSample:
@@ -119,8 +125,9 @@
         work = self._flows.get(flow)
         if work is not None and work.call_id == call_id:
             work.reply = reply
-            kind = AnswerKind.ACCEPTED if opening else AnswerKind.ECHO
-            reply(Answer(kind, call_id, self.name))
+            if not work.answers_once:
+                kind = AnswerKind.ACCEPTED if opening else AnswerKind.ECHO
+                reply(Answer(kind, call_id, self.name))
         elif opening:
             self._open(flow, Work(call_id, service_class, size_s, reply))
         else:
@@ -201,7 +208,8 @@
         self._flows[flow] = work
         self.counts["opened"] += 1
         self.opened_at.append((self.timeline.now, work.call_id))
-        work.reply(Answer(AnswerKind.ACCEPTED, work.call_id, self.name))
+        if not work.answers_once:
+            work.reply(Answer(AnswerKind.ACCEPTED, work.call_id, self.name))
         if work.service_class.kind is FlowKind.STREAM:
             self._open_stream(work)
         else:
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/control.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/control.py
@@ -13,7 +13,7 @@
 from fescueseam.versions.values import VersionedMap
 
 from .life import Life
-from .network import CALLERS, Network
+from .network import OPERATORS, Network
 from .store import Store
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
     # The command hands what the store took to a few balancers itself.
     living = [host for host in entries if host.life is not Life.DEAD]
     for host in living[:OPERATOR_PUSHES]:
-        network.send(CALLERS, host.place, partial(give, host, cfg))
+        network.send(OPERATORS, host.place, partial(give, host, cfg))
 
 
 def give(host: "Host", cfg: Configuration) -> None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/network.py
@@ -20,6 +20,7 @@
 
 
 CALLERS = Place("callers")
+OPERATORS = Place("operators")
 
 
 @frozen
