Clear reports of processes and keepers that have gone for good

Names of replaced instances would have filled the bounded map in time. Reports go after two hours of silence, which is longer than a store outage or a region apart; a keeper that was taken for lost writes its own again. Peers with an unknown role are ignored; they could have ended the tick.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -8,9 +8,15 @@
 from fescueseam.conf.models import ProcessSettings, Role
 from fescueseam.effects import Send
 from fescueseam.exceptions import MessageError
-from fescueseam.membership.detector import DEAD_AFTER_S, Membership
-from fescueseam.membership.facts import Announcement, MembershipEvent, ProcessFacts, Status
-from fescueseam.membership.peers import to_peer
+from fescueseam.membership.detector import DEAD_AFTER_S, FORGET_AFTER_S, Membership
+from fescueseam.membership.facts import (
+    Announcement,
+    EventKind,
+    MembershipEvent,
+    ProcessFacts,
+    Status,
+)
+from fescueseam.membership.peers import to_facts, to_peer
 from fescueseam.membership.rendezvous import choose_keepers
 from fescueseam.membership.reports import (
     MEMBERS_PREFIX,
@@ -68,6 +74,7 @@
         self._suspects: dict[str, VersionedValue] = {}
         self._told_at: dict[str, float] = {}
         self._missing: dict[str, float] = {}
+        self._lost: dict[str, float] = {}
         self._merged_at = float("-inf")
         self._live: list[str] = []
         self._accused: frozenset[str] = frozenset()
@@ -95,20 +102,6 @@
         """Return the other balancers that are alive."""
         return self._live
 
-    def describe_self(self) -> ProcessFacts:
-        """Return the facts of this process."""
-        settings = self.settings
-        return ProcessFacts(
-            settings.name,
-            settings.role,
-            settings.data_centre,
-            settings.region,
-            settings.address,
-            settings.control_port,
-            self.incarnation,
-            metrics_port=settings.metrics_port,
-        )
-
     # Events
 
     def tick(self, now: float) -> list[Send]:
@@ -207,16 +200,21 @@
 
     def _write_reports(self, events: Iterable[MembershipEvent]) -> None:
         for event in events:
-            self._write_report(event.facts.name)
+            if event.kind is EventKind.FORGOTTEN:
+                self._withdraw(self._build_key(event.facts))
+            else:
+                self._write_report(event.facts.name)
 
     def _write_report(self, name: str) -> None:
         record = self.membership.records.get(name)
         if record is None:
             return
-        settings = self.settings
-        key = build_report_key(settings.data_centre, settings.name, record.facts)
+        key = self._build_key(record.facts)
         data = encode_report(Report(record.facts, record.status))
-        self.gossip.put(VersionedValue(key, self._versions.take(), data, settings.name))
+        self.gossip.put(VersionedValue(key, self._versions.take(), data, self.settings.name))
+
+    def _build_key(self, facts: ProcessFacts) -> str:
+        return build_report_key(self.settings.data_centre, self.settings.name, facts)
 
     def _on_changed(self, values: Sequence[VersionedValue], now: float) -> None:
         for value in values:
@@ -231,6 +229,10 @@
         key = parse_report_key(value.key)
         if value.deleted:
             self._reports.drop(key.keeper, key.name)
+            if key.keeper == self.settings.name and key.name in self.membership.records:
+                # Others took this keeper for lost while it was apart.
+                self._versions.pass_over(value.version)
+                self._write_report(key.name)
             return
         kept = decode_report(value)
         self._reports.put(kept)
@@ -254,14 +256,28 @@
                 continue
             if sighting.status is Status.ALIVE:
                 del self.membership.records[name]
-                settings = self.settings
-                key = build_report_key(settings.data_centre, settings.name, record.facts)
-                self._withdraw(key)
+                self._withdraw(self._build_key(record.facts))
+
+    def _clear_lost(self, reachable: frozenset[str], now: float) -> None:
+        # A replaced balancer never comes back by its name, and somebody has to clear its reports.
+        lost = self._reports.list_keepers() - reachable
+        self._lost = {name: self._lost.get(name, now) for name in lost}
+        gone = {name for name, since in self._lost.items() if now - since > FORGET_AFTER_S}
+        mine = {name for name in gone if self.find_rank(f"reports/{name}") == 0}
+        if not mine:
+            return
+        for value in self.gossip.values.select(MEMBERS_PREFIX):
+            if parse_report_key(value.key).keeper in mine:
+                own = self.settings.name
+                self.gossip.put(
+                    VersionedValue(value.key, value.version + 1, b"", own, deleted=True)
+                )
 
     def _merge(self, now: float) -> None:
         self._merged_at = now
         heard = [peer.name for peer in self.book.list_heard(now, DEAD_AFTER_S)]
         reachable = self._reports.find_reachable([self.settings.name, *heard])
+        self._clear_lost(reachable, now)
         state = self._reports.revision, reachable
         # Merging costs time for every process there is, so it waits for a change.
         if state != self._merged:
@@ -277,7 +293,7 @@
             peer = self.book.find(name)
             known = self.sightings.get(name)
             if peer is not None and (known is None or known.status is not Status.ALIVE):
-                self.sightings[name] = Sighting(_to_facts(peer), Status.ALIVE, 1)
+                self.sightings[name] = Sighting(to_facts(peer), Status.ALIVE, 1)
 
     def _note_live(self) -> None:
         live = [
@@ -371,15 +387,3 @@
         ]
         ranked = choose_keepers(f"{purpose}/{own.data_centre}", [*near, own.name], len(near) + 1)
         return ranked.index(own.name)
-
-
-def _to_facts(peer: Peer) -> ProcessFacts:
-    return ProcessFacts(
-        peer.name,
-        Role(peer.role),
-        peer.data_centre,
-        peer.region,
-        peer.address,
-        peer.control_port,
-        peer.incarnation,
-    )
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -27,6 +27,8 @@
 
 TICK_S = 0.05
 WATCH_S = 30.0
+WATCH_RETRY_CAP_S = 2.0
+"""Bound the wait before a watch is tried again; few hold one, and a change must be seen in time."""
 POLL_S = 20.0
 """Read the configuration this often, in the mean, where others hold the watch."""
 TABLE_STEP_S = 0.2
@@ -194,7 +196,7 @@
         super().__init__(self.balancer, view, channel)
         self.tables = TableSet(self.balancer, rng)
         self.directory = Directory(self.balancer)
-        self._watch_breaker = Breaker(rng)
+        self._watch_breaker = Breaker(rng, cap_s=WATCH_RETRY_CAP_S)
 
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the loops of the role."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -9,6 +9,7 @@
 from fescueseam.conf.models import Configuration, ProcessSettings
 from fescueseam.effects import Send
 from fescueseam.exceptions import StoreError
+from fescueseam.membership.facts import ProcessFacts
 from fescueseam.membership.peers import PeerBook
 from fescueseam.messages.types import (
     Announce,
@@ -199,6 +200,20 @@
         )
         return Send(peer.address, peer.control_port, message)
 
+    def describe_self(self) -> ProcessFacts:
+        """Return the facts of this process."""
+        settings = self.settings
+        return ProcessFacts(
+            settings.name,
+            settings.role,
+            settings.data_centre,
+            settings.region,
+            settings.address,
+            settings.control_port,
+            self.incarnation,
+            metrics_port=settings.metrics_port,
+        )
+
     # Announcements
 
     def _announce(self, now: float) -> list[Send]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
@@ -64,7 +64,21 @@
         *[st.integers(0, 65535)] * 2,
         st.integers(0, 2**63),
     ),
-    st.builds(types.AnnounceAnswer, st.just(()), st.integers(0, 2**63)),
+    st.builds(
+        types.AnnounceAnswer,
+        st.lists(
+            st.builds(
+                types.Peer,
+                st.sampled_from(["", "own", "b9", "b8"]),
+                st.sampled_from(["agent", "balancer", "other"]),
+                *[st.sampled_from(["", "solo"])] * 2,
+                st.just("10.0.0.2"),
+                *[st.integers(0, 65535)] * 2,
+            ),
+            max_size=3,
+        ).map(tuple),
+        st.integers(0, 2**63),
+    ),
 )
 
 
@@ -116,3 +130,37 @@
     assert node.view.suspects == {"a1"}
     node.update_suspects(100.0)
     assert node.view.suspects == frozenset(), "nobody was heard for long"
+
+
+def announce_to(node, name, now, heartbeat):
+    body = types.Announce("agent", "solo", "jawa-tengah", "10.0.0.8", 7000, 7001, heartbeat)
+    node.handle(types.Message(name, 1, body, target="own", service="katalog"), now)
+    return node.tick(now)
+
+
+def list_reports(node, keeper):
+    return [value.key for value in node.gossip.values.select(f"members/solo/{keeper}/")]
+
+
+def test_reports_are_cleared_after_the_process_or_its_keeper_has_gone_for_good():
+    node = make_node(Role.BALANCER)
+    announce_to(node, "a0", 1.0, 1)
+    report = node.gossip.values.get("members/solo/own/katalog/a0")
+    lost = types.Value("members/solo/b9/katalog/a0", 7, "b9", report.value)
+    node.handle(types.Message("b0", 1, types.GossipValues((lost,)), target="own"), 1.0)
+    for second in range(2, 7300):
+        announce_to(node, "a1", float(second) - 0.5, second)
+        node.tick(float(second))
+    assert list_reports(node, "own") == ["members/solo/own/katalog/a1"]
+    assert list_reports(node, "b9") == []
+
+
+def test_a_keeper_that_was_taken_for_lost_writes_its_reports_again():
+    node = make_node(Role.BALANCER)
+    announce_to(node, "a0", 1.0, 1)
+    (key,) = list_reports(node, "own")
+    version = node.gossip.values.version(key) + 1
+    gone = types.Value(key, version, "b0", b"", deleted=True)
+    node.handle(types.Message("b0", 1, types.GossipValues((gone,)), target="own"), 1.5)
+    node.tick(1.6)
+    assert list_reports(node, "own") == [key]
--- a/packages/fescueseam/src/fescueseam/membership/detector.py
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -135,7 +135,7 @@
         silence_s = now - record.heard_at
         if silence_s > self._settings.forget_after_s:
             del self.records[record.facts.name]
-            return []
+            return [MembershipEvent(EventKind.FORGOTTEN, record.facts)]
         status = self._judge(silence_s)
         if status is record.status or record.status is Status.DEAD:
             return []
--- a/packages/fescueseam/src/fescueseam/membership/facts.py
+++ b/packages/fescueseam/src/fescueseam/membership/facts.py
@@ -53,6 +53,7 @@
     SUSPECTED = "suspected"
     RECOVERED = "recovered"
     DIED = "died"
+    FORGOTTEN = "forgotten"
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/membership/peers.py
+++ b/packages/fescueseam/src/fescueseam/membership/peers.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from fescueseam.conf.models import Role
 from fescueseam.membership.facts import ProcessFacts
 from fescueseam.membership.rendezvous import choose_keepers
 from fescueseam.messages.types import Peer
@@ -33,8 +34,8 @@
         self._known: dict[str, _Known] = {}
 
     def learn(self, peer: Peer) -> None:
-        """Take a peer, or a newer incarnation of it."""
-        if peer.name == self._own_name or not peer.name:
+        """Take a balancer, or a newer incarnation of it; nobody else keeps processes."""
+        if peer.name in ("", self._own_name) or peer.role != Role.BALANCER:
             return
         known = self._known.get(peer.name)
         if known is None:
@@ -109,6 +110,19 @@
     )
 
 
+def to_facts(peer: Peer) -> ProcessFacts:
+    """Return the facts that a peer's address tells."""
+    return ProcessFacts(
+        peer.name,
+        Role(peer.role),
+        peer.data_centre,
+        peer.region,
+        peer.address,
+        peer.control_port,
+        peer.incarnation,
+    )
+
+
 def _is_silent(known: _Known, now: float) -> bool:
     if known.asked_at is None:
         return False
--- a/packages/fescueseam/src/fescueseam/membership/reports.py
+++ b/packages/fescueseam/src/fescueseam/membership/reports.py
@@ -86,6 +86,10 @@
         """Start above everything that earlier incarnations wrote."""
         self._next = incarnation
 
+    def pass_over(self, version: int) -> None:
+        """Go on above a version that another process wrote."""
+        self._next = max(self._next, version)
+
     def take(self) -> int:
         """Return the next version."""
         self._next += 1
@@ -134,6 +138,10 @@
         self._by_keeper.get(keeper, {}).pop(name, None)
         self._live_balancers.get(keeper, set()).discard(name)
 
+    def list_keepers(self) -> frozenset[str]:
+        """Return every keeper that has a report here."""
+        return frozenset(keeper for keeper, reports in self._by_keeper.items() if reports)
+
     def find_reachable(self, reached: Iterable[str]) -> frozenset[str]:
         """Return the processes that are heard directly or through one another."""
         reachable = set(reached)
