--- a/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
@@ -135,9 +135,10 @@
         log.info("agent closed")
 
     def is_ready(self) -> bool:
-        """Tell whether the configuration and the service's table are known."""
+        """Tell whether the view is complete and claims on flows are granted."""
         known = self.view.find_table(self.settings.service) is not None
-        return self.view.cfg.version > 0 and known
+        is_open = self.core.claims.is_open(time.monotonic())
+        return self.view.cfg.version > 0 and known and is_open
 
     def describe_status(self) -> dict[str, object]:
         """Return the status page."""
--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/__main__.py
@@ -8,7 +8,6 @@
 import trio
 import typer
 
-from fescueseam.claims.registry import PACKET_LIFETIME_S
 from fescueseam.exceptions import KINDS, FescueseamError
 
 from ..caller_socket import CallerSettings, CallerSocket
@@ -49,8 +48,6 @@
     say("every process is ready")
     # An agent grants no claim until packets from before its start are dead, so until then nothing
     # of a class that may not be repeated is placed.
-    say(f"waiting {PACKET_LIFETIME_S:.0f} s until agents grant claims")
-    await trio.sleep(PACKET_LIFETIME_S)
 
 
 async def demonstrate(plan: DeploymentPlan, launcher: Launcher, scratch: Path) -> bool:
--- a/packages/fescueseam-standins/src/fescueseam_standins/tests/test_processes.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_processes.py
@@ -33,19 +33,20 @@
 from fescueseam_standins.http3_client import Target
 
 EXAMPLES = Path(__file__).resolve().parents[5] / "examples"
-SUBNET = "127.60.0"
+FIRST_NETWORK = 64
+NETWORKS = 128
+SUBNET = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}.{os.getpid() // NETWORKS % 256}"
+"""Bind in a network of this run's own, so that two runs at one time do not meet."""
 SERVICE_ADDRESS = "10.50.0.10"
 PRICES = Target((SERVICE_ADDRESS, 5683), "katalog")
 RESERVATIONS = Target((SERVICE_ADDRESS, 8443), "katalog")
 LISTINGS = Target((SERVICE_ADDRESS, 443), "katalog")
-UNBOUND_STORE = "http://127.60.0.99:9"
+UNBOUND_STORE = f"http://{SUBNET}.99:9"
 
 IN_FORCE_S = 6.0
 """Bound the time until an accepted configuration is in force everywhere, in seconds."""
 LAST_PACKET_S = 3.0
 """Bound the time until the last packet into a data centre that was taken out, in seconds."""
-CLAIMS_READY_S = 11.0
-"""Wait until members that have just started grant claims, in seconds."""
 
 
 @define
@@ -161,7 +162,6 @@
     names += [made.start_agent(index) for index in range(len(plan.endpoints))]
     await Operator(plan).apply(plan.folder)
     await launcher.wait_ready(names)
-    await trio.sleep(CLAIMS_READY_S)
 
 
 def run_session(
@@ -252,6 +252,11 @@
             after = await session.ask_prices(5, "outage-later")
         finally:
             await session.set_faults(outage=False)
+        addresses = session.list_addresses()
+        known = int(str((await session.read_status(addresses[0]))["config_version"]))
+        await session.operator.drain(session.plan.endpoints[3].name)
+        with trio.fail_after(IN_FORCE_S):
+            await session.wait_for_version(known + 1, addresses)
         assert count(before + after, Outcome.BROKEN) == 0
         assert count(before + after, Outcome.ANSWERED) > 0
 
--- a/packages/fescueseam/src/fescueseam/agent/core.py
+++ b/packages/fescueseam/src/fescueseam/agent/core.py
@@ -13,6 +13,7 @@
 from fescueseam.packets.adapter import Packet, parse_packet
 from fescueseam.placement.choice import ChooseCandidate, choose_least_utilised
 from fescueseam.placement.recorder import Recorder
+from fescueseam.routing.outbox import Outbox
 from fescueseam.routing.table import Member, MemberState
 from fescueseam.routing.view import View
 
@@ -42,6 +43,7 @@
     recorder: Recorder = field(init=False)
     home: Home = field(init=False)
     claims: ClaimRegistry = field(init=False)
+    _outbox: Outbox = field(init=False)
     _waiters: dict[str, float] = field(factory=dict)
     """Hold until when each recorder that was turned down wants to hear of free slots."""
     _bidding_until: float = float("-inf")
@@ -53,9 +55,8 @@
     _was_out: bool = False
 
     def __attrs_post_init__(self) -> None:
-        self.recorder = Recorder(
-            self.name, self.incarnation, self.service, self.view, self.started, self.choose
-        )
+        self._outbox = Outbox(self.name, self.incarnation, self.service, self.view)
+        self.recorder = Recorder(self._outbox, self.choose)
         self.home = Home(Gate(self.rules, self.started), self.started)
         self.claims = ClaimRegistry(self.started)
         self._last_event = self.started
@@ -118,7 +119,7 @@
             case types.Place():
                 return self._take_place(message, body, now)
             case types.Placed():
-                return self.recorder.handle_placed(message.sender, message.incarnation, body, now)
+                return self.recorder.handle_placed(message.sender, body, now)
             case types.Full():
                 return self.recorder.handle_full(message.sender, body, now)
             case types.NotHere():
@@ -336,28 +337,12 @@
         return effects[0]
 
     def _tell(self, name: str, body: types.Body, service_class: ServiceClass | None) -> Effects:
-        member = self._find_member(name)
-        if member is None:
-            return []
-        table = self.view.find_table(self.service)
-        message = types.Message(
-            self.name,
-            self.incarnation,
-            body,
-            target=name,
-            service=self.service,
-            class_name=service_class.name if service_class is not None else "",
-            epoch=table.epoch if table is not None else 0,
-            config_version=self.view.cfg.version,
-        )
-        return [Send(member.address, member.control_port, message)]
-
-    def _find_member(self, name: str) -> Member | None:
-        table = self.view.find_table(self.service)
+        class_name = service_class.name if service_class is not None else ""
         if name == self.name:
-            return Member(name, self.data_centre, "", 0, self.incarnation, MemberState.ACTIVE)
-        members = table.members if table is not None else ()
-        return next((member for member in members if member.name == name), None)
+            # The agent answers itself even while no table lists it.
+            own = Member(name, self.data_centre, "", 0, self.incarnation, MemberState.ACTIVE)
+            return [self._outbox.send(own, body, class_name)]
+        return self._outbox.send_by_name(name, body, class_name)
 
     def _resolve(self, effects: Effects, now: float) -> Effects:
         """Handle messages to this agent itself at once; return the rest."""
--- a/packages/fescueseam/src/fescueseam/claims/registry.py
+++ b/packages/fescueseam/src/fescueseam/claims/registry.py
@@ -32,9 +32,13 @@
     started: float
     _grants: OrderedDict[FlowKey, Grant] = field(factory=OrderedDict)
 
+    def is_open(self, now: float) -> bool:
+        """Tell whether packets from before the start of this member are dead."""
+        return now >= self.started + PACKET_LIFETIME_S
+
     def grant(self, flow: FlowKey, recorder: str, incarnation: int, claim: int, now: float) -> bool:
         """Grant a flow to a recorder unless another one has it; asking again is harmless."""
-        if now < self.started + PACKET_LIFETIME_S:
+        if not self.is_open(now):
             return False
         self._expire(now)
         known = self._grants.get(flow)
--- a/packages/fescueseam/src/fescueseam/flows/table.py
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -1,12 +1,12 @@
 """Hold the flows of the backend server beside an agent."""
 
-from collections import OrderedDict
 from collections.abc import Iterator
 
 from attrs import define, field
 
 from fescueseam.conf.models import ServiceClass
 from fescueseam.flows.keys import FlowKey
+from fescueseam.flows.memory import FlowMemory
 
 CLOSED_LIMIT = 16384
 FINISHING_S = 2.0
@@ -40,7 +40,7 @@
     """Hold open flows, and the closed ones that must not run again."""
 
     _open: dict[FlowKey, FlowRecord] = field(factory=dict)
-    _closed: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    _closed: FlowMemory = field(factory=lambda: FlowMemory(CLOSED_LIMIT))
 
     def __len__(self) -> int:
         return len(self._open)
@@ -62,14 +62,12 @@
 
     def quarantine(self, key: FlowKey, until: float) -> None:
         """Remember a closed flow so that a late duplicate of it does not run."""
-        self._closed[key] = until
-        self._closed.move_to_end(key)
+        self._closed.add(key, until)
 
     def has_run(self, key: FlowKey, now: float) -> bool:
         """Tell whether a flow has been closed here lately."""
-        while self._closed and next(iter(self._closed.values())) <= now:
-            self._closed.popitem(last=False)
-        return key in self._closed
+        self._closed.expire(now)
+        return self._closed.holds(key, now)
 
     def has_room(self) -> bool:
         """Tell whether one more closed flow could be remembered."""
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -1,7 +1,8 @@
 """Find and remember the homes of the flows whose buckets this member records."""
 
+import itertools
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterator
 
 from attrs import define, field
 
@@ -10,21 +11,22 @@
 from fescueseam.effects import Drop, Effects, Measure, Observe, Refuse, Send
 from fescueseam.exceptions import ErrorKind
 from fescueseam.flows.keys import FlowKey, compute_bucket
+from fescueseam.flows.memory import FlowMemory
 from fescueseam.messages import types
 from fescueseam.packets.adapter import Packet, Phase, find_phase
+from fescueseam.placement.buckets import RecordedBuckets
 from fescueseam.placement.choice import FULL_BELIEF_S, ChooseCandidate, choose_least_utilised
+from fescueseam.placement.homes import Homes
 from fescueseam.placement.opening import Home, Opening, PeerLoad, Stage
-from fescueseam.routing.table import Member, MemberState
+from fescueseam.routing.outbox import Outbox
+from fescueseam.routing.table import Member, MemberState, Row
 from fescueseam.routing.view import View
 
-HOMES_LIMIT = 16384
 OPENINGS_LIMIT = 4096
 REFUSALS_LIMIT = 16384
 RESEND_S = 0.05
 """Wait this long for an answer before the first resend; the wait doubles with each."""
 RESENDS_LIMIT = 4
-SETTLE_S = PACKET_LIFETIME_S
-"""Ask before placing for this long after becoming a bucket's recorder, in seconds."""
 UNKNOWN_S = 1.0
 """Drop packets of a flow that no member holds for this long before asking again."""
 
@@ -33,24 +35,27 @@
 class Recorder:
     """Hold homes, searches, waits and refusals; decide the next step of each."""
 
-    name: str
-    incarnation: int
-    service: str
-    view: View
-    started: float
+    outbox: Outbox
     choose: ChooseCandidate = choose_least_utilised
-    homes: OrderedDict[FlowKey, Home] = field(factory=OrderedDict)
+    homes: Homes = field(factory=Homes)
     openings: dict[FlowKey, Opening] = field(factory=dict)
     waiting: OrderedDict[FlowKey, Opening] = field(factory=OrderedDict)
     loads: dict[str, PeerLoad] = field(factory=dict)
-    _refused: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
-    _unknown: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
-    _spent: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
-    """Hold flows that were placed, whose home is gone, and that may not run again."""
-    _since: dict[int, float] = field(factory=dict)
-    _revision: int = -1
-    _attempts: int = 0
-    _claims: int = 0
+    _buckets: RecordedBuckets = field(init=False)
+    _refused: FlowMemory = field(factory=lambda: FlowMemory(REFUSALS_LIMIT))
+    _unknown: FlowMemory = field(factory=lambda: FlowMemory(REFUSALS_LIMIT))
+    _numbers: Iterator[int] = field(init=False)
+    """Number attempts and claims; no number of an earlier incarnation comes again."""
+
+    def __attrs_post_init__(self) -> None:
+        outbox = self.outbox
+        self._buckets = RecordedBuckets(outbox.name, outbox.service, outbox.view)
+        self._numbers = itertools.count(outbox.incarnation + 1)
+
+    @property
+    def view(self) -> View:
+        """Return the view that every decision rests on."""
+        return self.outbox.view
 
     def handle_packet(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
         """Send a packet to its flow's home, or begin to find one."""
@@ -62,11 +67,11 @@
         if opening is not None:
             return self._repeat(opening, packet, now)
         phase = find_phase(packet, service_class.transport)
-        if self._refused.get(flow, 0.0) > now:
+        if self._refused.holds(flow, now):
             return self._refuse_again(packet, service_class, phase)
-        if self._spent.get(flow, 0.0) > now:
+        if self.homes.is_spent(flow, now):
             return [Drop(ErrorKind.DUPLICATE_OPENING, service_class.name)]
-        if phase is not Phase.OPENING and self._unknown.get(flow, 0.0) > now:
+        if phase is not Phase.OPENING and self._unknown.holds(flow, now):
             return [Drop(ErrorKind.UNKNOWN_FLOW, service_class.name)]
         if len(self.openings) >= OPENINGS_LIMIT:
             return [Drop(ErrorKind.TABLE_FULL, service_class.name)]
@@ -87,24 +92,21 @@
             opening.granted.add(sender)
         return self._judge_answers(opening, now)
 
-    def handle_placed(
-        self, sender: str, incarnation: int, body: types.Placed, now: float
-    ) -> Effects:
+    def handle_placed(self, sender: str, body: types.Placed, now: float) -> Effects:
         """Take it that a member has delivered an opening."""
         self._note_load(sender, body.load, now)
         opening = self.openings.get(body.flow)
         if opening is not None:
             return self._settle(opening, sender, now)
-        home = self.homes.get(body.flow)
+        home = self.homes.find(body.flow)
         if home is not None and home.member != sender:
             # The sender was given up before it answered; the flow lives elsewhere.
-            return self._send_by_name(sender, types.Release(body.flow))
+            return self.outbox.send_by_name(sender, types.Release(body.flow))
         return []
 
     def handle_full(self, sender: str, body: types.Full, now: float) -> Effects:
         """Take it that a member has not delivered an opening and never will."""
-        self._note_load(sender, body.load, now)
-        self.loads[sender].full_until = now + FULL_BELIEF_S
+        self._note_load(sender, body.load, now).full_until = now + FULL_BELIEF_S
         opening = self.openings.get(body.flow)
         if opening is None or opening.attempt != body.attempt:
             return []
@@ -115,8 +117,7 @@
 
     def handle_free(self, sender: str, load: types.Load, now: float) -> Effects:
         """Offer waiting openings to a member that has room again."""
-        self._note_load(sender, load, now)
-        self.loads[sender].full_until = 0.0
+        self._note_load(sender, load, now).full_until = 0.0
         for opening in self.openings.values():
             # An opening that is being offered elsewhere may come back to this member.
             if now < opening.started + opening.service_class.wait_s:
@@ -136,10 +137,10 @@
         self, sender: str, packet: Packet, service_class: ServiceClass, now: float
     ) -> Effects:
         """Forget a home that does not hold the flow, and handle the packet anew."""
-        home = self.homes.get(packet.flow)
+        home = self.homes.find(packet.flow)
         if home is None or home.member != sender:
             return []
-        self._forget_home(packet.flow, now)
+        self.homes.forget(packet.flow, now)
         return self.handle_packet(packet, service_class, now)
 
     def tick(self, now: float) -> Effects:
@@ -147,64 +148,32 @@
         effects: Effects = []
         for opening in list(self.openings.values()):
             effects += self._advance(opening, now)
-        if self._revision != self.view.revision:
-            self._update_buckets(now)
-        for known in (self._refused, self._unknown, self._spent):
-            while known and next(iter(known.values())) <= now:
-                known.popitem(last=False)
+        self._buckets.update(now)
+        for memory in (self._refused, self._unknown, self.homes):
+            memory.expire(now)
         return effects
 
-    def note_load(self, name: str, load: types.Load, now: float) -> None:
-        """Take a load heard in passing."""
-        self._note_load(name, load, now)
-
     # Start of a search
 
     def _start(self, opening: Opening, now: float) -> Effects:
         marked = opening.phase is Phase.OPENING
-        if not opening.service_class.repeatable and opening.phase in (
-            Phase.OPENING,
-            Phase.UNMARKED,
-        ):
-            self._claims += 1
-            opening.claim = self._claims
+        opens = opening.phase in (Phase.OPENING, Phase.UNMARKED)
+        if opens and not opening.service_class.repeatable:
+            opening.claim = next(self._numbers)
         self.openings[opening.flow] = opening
-        if marked and not opening.claim and self._is_settled(opening.flow, now):
+        if marked and not opening.claim and self._buckets.is_settled(opening.flow, now):
             return self._place_next(opening, now)
         return self._ask(opening, now)
 
-    def _is_settled(self, flow: FlowKey, now: float) -> bool:
-        if self._revision != self.view.revision:
-            self._update_buckets(now)
-        table = self.view.find_table(self.service)
+    def _find_row(self, flow: FlowKey) -> Row:
+        service = self.outbox.service
+        table = self.view.find_table(service)
         if table is None:
-            return False
-        since = self._since.get(compute_bucket(flow, table.seed, table.buckets))
-        return since is not None and now >= since + SETTLE_S
-
-    def _update_buckets(self, now: float) -> None:
-        # A bucket recorded without interruption keeps its time. Of two changes at once the first
-        # was not looked at, and may have been an interruption.
-        table = self.view.find_table(self.service)
-        if self.view.revision != self._revision + 1:
-            self._since = {}
-        self._revision = self.view.revision
-        recorded: dict[int, float] = {}
-        for bucket in range(table.buckets if table else 0):
-            recorder = self.view.find_recorder(self.service, bucket)
-            if recorder is not None and recorder.name == self.name:
-                recorded[bucket] = self._since.get(bucket, now)
-        self._since = recorded
-
-    def _list_row(self, flow: FlowKey) -> tuple[Member, ...]:
-        table = self.view.find_table(self.service)
-        if table is None:
-            return ()
-        bucket = compute_bucket(flow, table.seed, table.buckets)
-        return self.view.find_row(self.service, bucket).members
+            return Row((), ())
+        return self.view.find_row(service, compute_bucket(flow, table.seed, table.buckets))
 
     def _ask(self, opening: Opening, now: float) -> Effects:
-        row = self._list_row(opening.flow)
+        row = self._find_row(opening.flow).members
         opening.stage = Stage.ASKING
         opening.asked = opening.sent = now
         opening.majority = count_majority(len(row))
@@ -220,8 +189,8 @@
     def _send_asks(self, opening: Opening) -> Effects:
         body = types.Ask(opening.flow, opening.claim)
         return [
-            self._send(member, body, opening.service_class)
-            for member in self._list_row(opening.flow)
+            self.outbox.send(member, body, opening.service_class.name)
+            for member in self._find_row(opening.flow).members
             if member.name in opening.silent
         ]
 
@@ -262,13 +231,9 @@
         return self._refuse(opening, now)
 
     def _list_candidates(self, opening: Opening) -> list[Member]:
-        table = self.view.find_table(self.service)
-        if table is None:
-            return []
-        bucket = compute_bucket(opening.flow, table.seed, table.buckets)
         return [
             member
-            for member in self.view.find_row(self.service, bucket).candidates
+            for member in self._find_row(opening.flow).candidates
             if member.name not in opening.turned_down and self.view.is_usable(member)
         ]
 
@@ -280,9 +245,8 @@
         return None
 
     def _offer(self, opening: Opening, member: Member, now: float) -> Effects:
-        self._attempts += 1
         opening.stage = Stage.PLACING
-        opening.attempt = self._attempts
+        opening.attempt = next(self._numbers)
         opening.attempts += 1
         opening.candidate = member.name
         opening.sent = now
@@ -291,18 +255,15 @@
 
     def _send_place(self, opening: Opening, member: Member) -> Send:
         body = types.Place(opening.attempt, opening.packet.raw, opening.sent - opening.started)
-        return self._send(member, body, opening.service_class)
+        return self.outbox.send(member, body, opening.service_class.name)
 
     def _settle(self, opening: Opening, holder: str, now: float) -> Effects:
         self._remove(opening)
-        member = self._find_member(holder)
+        member = self.outbox.find_member(holder)
         if member is None:
             return []
         home = Home(holder, member.incarnation, opening.service_class.repeatable)
-        self.homes[opening.flow] = home
-        self.homes.move_to_end(opening.flow)
-        if len(self.homes) > HOMES_LIMIT:
-            self.homes.popitem(last=False)
+        self.homes.add(opening.flow, home)
         effects: Effects = []
         if opening.stage is Stage.ASKING:
             effects.append(self._carry_home(member, opening.packet, opening.service_class))
@@ -318,7 +279,7 @@
 
     def _refuse(self, opening: Opening, now: float) -> Effects:
         self._remove(opening)
-        self._remember(self._refused, opening.flow, now + PACKET_LIFETIME_S)
+        self._refused.add(opening.flow, now + PACKET_LIFETIME_S)
         name = opening.service_class.name
         return [
             Observe(Measure.WAIT_S, now - opening.started, name),
@@ -332,7 +293,7 @@
 
     def _forget(self, opening: Opening, now: float) -> Effects:
         self._remove(opening)
-        self._remember(self._unknown, opening.flow, now + UNKNOWN_S)
+        self._unknown.add(opening.flow, now + UNKNOWN_S)
         return [Drop(ErrorKind.UNKNOWN_FLOW, opening.service_class.name)]
 
     def _give_up(self, opening: Opening) -> Effects:
@@ -340,8 +301,8 @@
         self._remove(opening)
         body = types.Release(opening.flow, opening.claim)
         effects: Effects = [
-            self._send(member, body, opening.service_class)
-            for member in self._list_row(opening.flow)
+            self.outbox.send(member, body, opening.service_class.name)
+            for member in self._find_row(opening.flow).members
             if member.name in opening.granted
         ]
         return [*effects, Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
@@ -349,20 +310,13 @@
     def _end_unresolved(self, opening: Opening, now: float) -> Effects:
         self._remove(opening)
         if opening.claim:
-            self._remember(self._spent, opening.flow, now + GRANT_S)
+            self.homes.spend(opening.flow, now + GRANT_S)
         return [Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
 
     def _remove(self, opening: Opening) -> None:
         self.openings.pop(opening.flow, None)
         self.waiting.pop(opening.flow, None)
 
-    @staticmethod
-    def _remember(known: OrderedDict[FlowKey, float], flow: FlowKey, until: float) -> None:
-        known[flow] = until
-        known.move_to_end(flow)
-        if len(known) > REFUSALS_LIMIT:
-            known.popitem(last=False)
-
     # Time
 
     def _repeat(self, opening: Opening, packet: Packet, now: float) -> Effects:
@@ -377,7 +331,7 @@
     def _repeat_unresolved(self, opening: Opening, packet: Packet, now: float) -> Effects:
         # If the candidate has delivered the opening, the flow lives there although its answer
         # was lost.
-        member = self._find_member(opening.candidate)
+        member = self.outbox.find_member(opening.candidate)
         if member is None:
             return [Drop(ErrorKind.UNRESOLVED_CLAIM, opening.service_class.name)]
         effects: Effects = []
@@ -402,7 +356,7 @@
         opening.resends += 1
         if opening.stage is Stage.ASKING:
             return self._send_asks(opening)
-        member = self._find_member(opening.candidate)
+        member = self.outbox.find_member(opening.candidate)
         return [self._send_place(opening, member)] if member is not None else []
 
     def _time_out(self, opening: Opening, now: float) -> Effects:
@@ -413,61 +367,33 @@
             return []
         opening.abandoned = True
         opening.turned_down.add(opening.candidate)
-        release = self._send_by_name(opening.candidate, types.Release(opening.flow))
+        release = self.outbox.send_by_name(opening.candidate, types.Release(opening.flow))
         return release + self._place_next(opening, now)
 
     def _time_out_ask(self, opening: Opening, now: float) -> Effects:
         if opening.claim:
             return self._give_up(opening)
-        if opening.phase is Phase.ESTABLISHED or opening.phase is Phase.CLOSING:
+        if opening.phase in (Phase.ESTABLISHED, Phase.CLOSING):
             return self._forget(opening, now)
         return self._place_next(opening, now)
 
     # Peers
 
-    def _forget_home(self, flow: FlowKey, now: float) -> None:
-        home = self.homes.pop(flow)
-        if not home.repeatable:
-            self._remember(self._spent, flow, now + PACKET_LIFETIME_S)
-
     def _find_home(self, flow: FlowKey, now: float) -> Member | None:
-        home = self.homes.get(flow)
+        home = self.homes.find(flow)
         if home is None:
             return None
-        member = self._find_member(home.member)
+        member = self.outbox.find_member(home.member)
         if member is None or self.view.is_out(member.data_centre):
-            self._forget_home(flow, now)
+            self.homes.forget(flow, now)
             return None
-        self.homes.move_to_end(flow)
         return member
 
-    def _find_member(self, name: str) -> Member | None:
-        table = self.view.find_table(self.service)
-        members: Iterable[Member] = table.members if table is not None else ()
-        return next((member for member in members if member.name == name), None)
-
-    def _note_load(self, name: str, load: types.Load, now: float) -> None:
+    def _note_load(self, name: str, load: types.Load, now: float) -> PeerLoad:
         peer = self.loads.setdefault(name, PeerLoad())
         peer.load = load
         peer.heard = now
+        return peer
 
     def _carry_home(self, member: Member, packet: Packet, service_class: ServiceClass) -> Send:
-        return self._send(member, types.Carry(packet.raw, homed=True), service_class)
-
-    def _send_by_name(self, name: str, body: types.Body) -> Effects:
-        member = self._find_member(name)
-        return [self._send(member, body, None)] if member is not None else []
-
-    def _send(self, member: Member, body: types.Body, service_class: ServiceClass | None) -> Send:
-        table = self.view.find_table(self.service)
-        message = types.Message(
-            self.name,
-            self.incarnation,
-            body,
-            target=member.name,
-            service=self.service,
-            class_name=service_class.name if service_class is not None else "",
-            epoch=table.epoch if table is not None else 0,
-            config_version=self.view.cfg.version,
-        )
-        return Send(member.address, member.control_port, message)
+        return self.outbox.send(member, types.Carry(packet.raw, homed=True), service_class.name)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/routing/outbox.py
@@ -0,0 +1,44 @@
+"""Address messages to the members of a service."""
+
+from attrs import define
+
+from fescueseam.effects import Effects, Send
+from fescueseam.messages import types
+from fescueseam.routing.table import Member
+from fescueseam.routing.view import View
+
+
+@define
+class Outbox:
+    """Make the messages of one process about one service."""
+
+    name: str
+    incarnation: int
+    service: str
+    view: View
+
+    def find_member(self, name: str) -> Member | None:
+        """Return a listed member by name."""
+        table = self.view.find_table(self.service)
+        members = table.members if table is not None else ()
+        return next((member for member in members if member.name == name), None)
+
+    def send(self, member: Member, body: types.Body, class_name: str = "") -> Send:
+        """Return the sending of a message to a member."""
+        table = self.view.find_table(self.service)
+        message = types.Message(
+            self.name,
+            self.incarnation,
+            body,
+            target=member.name,
+            service=self.service,
+            class_name=class_name,
+            epoch=table.epoch if table is not None else 0,
+            config_version=self.view.cfg.version,
+        )
+        return Send(member.address, member.control_port, message)
+
+    def send_by_name(self, name: str, body: types.Body, class_name: str = "") -> Effects:
+        """Return the sending of a message to a member by name; nothing if it is not listed."""
+        member = self.find_member(name)
+        return [self.send(member, body, class_name)] if member is not None else []
