Keep the flows that opened after a restart of the backend server

Ruled out: the recorder, which went on naming the right home. Change: only flows that opened before the restart, by the reported uptime, are closed. Before: test_restarted failed; after: 32 agent tests passed.

--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -1,5 +1,6 @@
 """Decide for the flows whose home is the backend server beside this agent."""
 
+import math
 from collections import OrderedDict
 
 from attrs import define, evolve, field, frozen
@@ -180,6 +181,14 @@
             effects += self.close(record.key, False, now)
         return effects
 
+    def _close_older(self, restart: float, now: float) -> Effects:
+        # A flow that opened after the restart lives; without an uptime none is known to.
+        effects: Effects = []
+        for record in self.flows:
+            if math.isinf(restart) or record.opened < restart:
+                effects += self.close(record.key, False, now)
+        return effects
+
     def hold(self, offer: Offer) -> Effects:
         """Hold an offer until the backend server has reported."""
         self.held[offer.packet.flow] = offer
@@ -189,7 +198,7 @@
         """Take a load report; end the flows that a restart has cut."""
         restarted = self.gate.note_report(report, now)
         if restarted:
-            return self.close_all(now)
+            return self._close_older(now - report.uptime_s, now)
         self._reconcile(report, now)
         return []
 
