Average the utilisation over 30 s

Cause: with few requests, an average over 10 s forgets unevenness sooner than it is evened out; acopio's imbalance stayed at 1.046 to 1.054 over 900 s. Change: 30 s in place of 10 s. Slower notice of a changed speed was not measured.

--- a/packages/fescueseam/src/fescueseam/admission/gate.py
+++ b/packages/fescueseam/src/fescueseam/admission/gate.py
@@ -8,7 +8,7 @@
 from fescueseam.conf.models import AdmissionRules, FlowKind
 from fescueseam.messages.types import Load
 
-UTILISATION_TIME_S = 10.0
+UTILISATION_TIME_S = 30.0
 """Average the utilisation over about this time, in seconds."""
 
 REPORT_FRESH_S = 0.05
