Let the world suspect the instance that the measure kills

Cause: the world now suspects silent agents itself, and its call to set suspects by hand is gone. Ruled out: killing without suspicion (flows whose recorder died would break by no fault of the system). Change: the measure starts the world's suspicion before it kills.

--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/changes.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/changes.py
@@ -119,7 +119,7 @@
         return 0
     servers = [call.server for call in standing]
     victim = max(sorted(set(servers)), key=servers.count)
+    world.suspicion.start()
     world.kill_server(victim)
-    world.set_suspects(frozenset((victim,)), SPREAD_S)
     world.run_until(world.timeline.now + QUIET_S)
     return sum(call.outcome is Outcome.BROKEN and call.server != victim for call in standing)
