--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -10,7 +10,7 @@
 from fescueseam.conf.models import FlowKind, ServiceClass, Transport
 from fescueseam.effects import CloseFlow, Deliver, Drop, Effects, Measure, Observe, Probe
 from fescueseam.exceptions import ErrorKind
-from fescueseam.flows.keys import FlowKey
+from fescueseam.flows.keys import FlowKey, compute_digest
 from fescueseam.flows.table import FlowRecord, FlowTable
 from fescueseam.packets.adapter import Packet, Phase, find_phase
 
@@ -120,7 +120,10 @@
     def open(self, packet: Packet, service_class: ServiceClass, now: float) -> Effects:
         """Open a flow that was admitted."""
         self.gate.take(service_class.kind, now)
-        self.flows.add(FlowRecord(packet.flow, service_class, now, now))
+        record = FlowRecord(packet.flow, service_class, now, now)
+        if service_class.transport is Transport.UDP and not service_class.repeatable:
+            record.opening_digest = compute_digest(packet.payload)
+        self.flows.add(record)
         return [Deliver(packet.flow, service_class, packet, opening=True)]
 
     def pass_packet(self, packet: Packet, now: float) -> Effects | None:
@@ -130,6 +133,8 @@
             if self.flows.has_run(packet.flow, now):
                 return [Drop(ErrorKind.DUPLICATE_OPENING)]
             return None
+        if record.is_copy(packet.payload):
+            return [Drop(ErrorKind.DUPLICATE_OPENING, record.service_class.name)]
         self._note_activity(record, now, answered=False)
         record.finishing = record.finishing or bool(packet.tcp_flags & TCP_FIN)
         effects: Effects = [Deliver(packet.flow, record.service_class, packet)]
--- a/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
+++ b/packages/fescueseam/src/fescueseam/agent/tests/test_core.py
@@ -358,3 +358,16 @@
     cluster.run("server-0", agent.recorder.handle_packet(packet, service_class, cluster.now))
     assert agent.recorder.orphans_until > cluster.now
     assert flow not in agent.recorder.openings
+
+
+def test_copy_of_an_open_request_does_not_reach_the_server_again(cluster: Cluster) -> None:
+    raw = build_packet(ONCE_PORT, 1)
+    cluster.send(raw)
+    cluster.send(raw)
+    cluster.send(build_packet(ONCE_PORT, 1, b"more"))
+    assert len(cluster.opened) == 1
+    assert len(cluster.delivered) == 2
+    repeatable = build_packet(REQUEST_PORT, 2)
+    cluster.send(repeatable)
+    cluster.send(repeatable)
+    assert len(cluster.delivered) == 4
--- a/packages/fescueseam/src/fescueseam/flows/keys.py
+++ b/packages/fescueseam/src/fescueseam/flows/keys.py
@@ -37,6 +37,11 @@
         return f"{source}:{self.source_port}>{destination}:{self.destination_port}"
 
 
+def compute_digest(payload: bytes) -> int:
+    """Return a digest that tells a payload from others of the same flow."""
+    return xxhash.xxh3_64_intdigest(payload)
+
+
 def compute_bucket(key: FlowKey, seed: int, buckets: int) -> int:
     """Return the bucket of a flow; the seed is secret, the bucket count a power of two."""
     return xxhash.xxh3_64_intdigest(key.packed(), seed) & (buckets - 1)
--- a/packages/fescueseam/src/fescueseam/flows/table.py
+++ b/packages/fescueseam/src/fescueseam/flows/table.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from fescueseam.conf.models import ServiceClass
-from fescueseam.flows.keys import FlowKey
+from fescueseam.flows.keys import FlowKey, compute_digest
 from fescueseam.flows.memory import FlowMemory
 
 CLOSED_LIMIT = 16384
@@ -24,11 +24,17 @@
     finishing: bool = False
     counted: bool = True
     """Tell whether the flow still takes its slot or connection."""
+    opening_digest: int | None = None
+    """Recognise copies of the opening of a datagram flow that may not run twice."""
     answered: bool = False
     """Tell whether the last packet seen was the backend server's."""
     replied: bool = False
     """Tell whether the backend server has answered after a pause."""
 
+    def is_copy(self, payload: bytes) -> bool:
+        """Tell whether a payload is the opening's; QUIC and TCP recognise copies by themselves."""
+        return self.opening_digest is not None and compute_digest(payload) == self.opening_digest
+
     def is_idle(self, now: float) -> bool:
         """Tell whether the flow has been silent for so long that it is taken for ended."""
         limit = FINISHING_S if self.finishing else self.service_class.idle_timeout_s
