--- a/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
@@ -1,7 +1,5 @@
 """Count and observe what a daemon does."""
 
-from collections.abc import Callable
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from fescueseam.effects import Measure
@@ -77,6 +75,3 @@
     def count_drop(self, kind: ErrorKind, service: str = "", class_name: str = "") -> None:
         """Count a dropped packet or message."""
         self.dropped.labels(service, class_name, kind.value).inc()
-
-
-Snapshot = Callable[[], dict[str, object]]
--- a/packages/fescueseam/src/fescueseam/agent/home.py
+++ b/packages/fescueseam/src/fescueseam/agent/home.py
@@ -11,6 +11,7 @@
 from fescueseam.effects import CloseFlow, Deliver, Drop, Effects, Measure, Observe, Probe
 from fescueseam.exceptions import ErrorKind
 from fescueseam.flows.keys import FlowKey, compute_digest
+from fescueseam.flows.memory import FlowMemory
 from fescueseam.flows.table import FlowRecord, FlowTable
 from fescueseam.packets.adapter import Packet, Phase, find_phase
 
@@ -75,7 +76,7 @@
     _lag_s: float = RECONCILE_IDLE_S
     """Take reports to be this late; a slot freed in error doubles it."""
     _turned_down: OrderedDict[FlowKey, TurnedDown] = field(factory=OrderedDict)
-    _ended: OrderedDict[FlowKey, float] = field(factory=OrderedDict)
+    _ended: FlowMemory = field(factory=lambda: FlowMemory(ENDED_LIMIT))
 
     def has_delivered(self, flow: FlowKey, now: float) -> bool:
         """Tell whether a flow is open here or has run here lately."""
@@ -168,19 +169,13 @@
         if not record.service_class.repeatable:
             self.flows.quarantine(flow, now + PACKET_LIFETIME_S)
         else:
-            self._note_ended(flow, now)
+            self._ended.add(flow, now + PACKET_LIFETIME_S)
         life_s = now - record.opened
         return [CloseFlow(flow), Observe(Measure.FLOW_LIFE_S, life_s, record.service_class.name)]
 
     def has_ended(self, flow: FlowKey, now: float) -> bool:
         """Tell whether a flow that may be repeated has run here lately."""
-        return self._ended.get(flow, now) > now
-
-    def _note_ended(self, flow: FlowKey, now: float) -> None:
-        self._ended[flow] = now + PACKET_LIFETIME_S
-        self._ended.move_to_end(flow)
-        while len(self._ended) > ENDED_LIMIT:
-            self._ended.popitem(last=False)
+        return self._ended.holds(flow, now)
 
     def close_all(self, now: float) -> Effects:
         """Close every flow, none of them a success."""
--- a/packages/fescueseam/src/fescueseam/placement/opening.py
+++ b/packages/fescueseam/src/fescueseam/placement/opening.py
@@ -44,7 +44,6 @@
     stage: Stage = Stage.ASKING
     claim: int = 0
     """Number the claim on a majority of the row's members; zero needs none."""
-    asked: float = 0.0
     silent: set[str] = field(factory=set)
     """Name the members that have not answered the ask."""
     granted: set[str] = field(factory=set)
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -192,7 +192,7 @@
     def _ask(self, opening: Opening, now: float) -> Effects:
         row = self._find_row(opening.flow).members
         opening.stage = Stage.ASKING
-        opening.asked = opening.sent = now
+        opening.sent = now
         opening.majority = count_majority(len(row))
         opening.silent = {
             member.name
