--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Run the steering decisions: sockets, time, the store and logs."""
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -0,0 +1,151 @@
+"""Run an agent beside a backend server."""
+
+import trio
+from attrs import define, field
+
+from fescueseam.exceptions import MessageError
+from fescueseam.steering.agent import Agent
+from fescueseam.steering.backend import Backend, Verdict
+from fescueseam.steering.members import REPORT_INTERVAL_S
+from fescueseam.steering.notices import Locate, Report
+from fescueseam.steering.segments import format_address
+from fescueseam_daemon.steering.node import IDLE_TICK_S, TICK_S, Node
+from fescueseam_daemon.steering.ports import Farewell
+from fescueseam_daemon.steering.web import Request, Response
+
+LEAVE_S = 0.15
+"""Let requests at work be answered for this long before the end, in seconds; the backend server
+sends the rest again to the next agent."""
+REJOIN_S = 2.0
+"""Read the list of members again if no balancer was heard for this long, in seconds."""
+
+
+@define(eq=False)
+class AgentProcess:
+    """Own an agent's decisions and its node."""
+
+    node: Node
+    core: Agent = field(init=False)
+    _pending: trio.Event = field(factory=trio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.node.settings
+        backend = Backend(settings.service, settings.heartbeat_interval_s)
+        self.core = Agent(self.node.fleet, backend, trio.current_time())
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        node, settings = self.node, self.node.settings
+        assert settings.heartbeats is not None, "checked for agents"
+        node.start()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.edge_packets.receive, self._take_answer)
+            nursery.start_soon(node.peer_packets.receive, self._take_packet)
+            nursery.start_soon(node.notices.receive, self._take_notice)
+            nursery.start_soon(node.serve, settings.heartbeats, self._answer_heartbeat)
+            nursery.start_soon(node.serve, settings.readiness, self._answer_readiness)
+            nursery.start_soon(self._join)
+            nursery.start_soon(node.serve_metrics)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._report_often)
+
+    async def leave(self) -> None:
+        """Admit nothing more and wait a little for requests at work."""
+        self.node.carry_out(self.core.leave(trio.current_time()))
+        with trio.move_on_after(LEAVE_S):
+            while self.core.flows.busy:
+                await trio.sleep(TICK_S)
+
+    def _take_packet(self, data: bytes, sender: str) -> None:
+        segment = self.node.decode(data, sender)
+        if segment is not None:
+            self._do(self.core.handle_packet(segment, trio.current_time()))
+
+    def _take_answer(self, data: bytes, sender: str) -> None:
+        segment = self.node.decode(data, sender)
+        if segment is not None:
+            self._do(self.core.handle_answer(segment, trio.current_time()))
+
+    def _take_notice(self, data: bytes, sender: str) -> None:
+        notice = self.node.decode_notice(data, sender)
+        if notice is None:
+            return
+        now = trio.current_time()
+        if isinstance(notice.body, Locate):
+            member = self.node.fleet.find(notice.sender)
+            if member is not None:
+                address = member.identity.address
+                self._do(self.core.handle_locate(address, notice.body, now))
+        elif isinstance(notice.body, Report):
+            news = self.node.take_report(notice.body, notice.sequence, now)
+            self._do(self.core.handle_report(notice.body, now))
+            if news or notice.body.asks_back:
+                report = self.core.build_report(now)
+                self.node.tell(notice.body.identity.address, report)
+
+    def _do(self, effects: list) -> None:  # type: ignore[type-arg]
+        self.node.carry_out(effects)
+        if self.core.is_waiting() and not self._pending.is_set():
+            self._pending.set()
+
+    async def _answer_heartbeat(self, request: Request) -> Response:
+        now = trio.current_time()
+        try:
+            said = self.node.surroundings.read_heartbeat(
+                request.method, request.path, request.body
+            )
+        except MessageError as exc:
+            self.node.note("heartbeat-malformed", {"reason": exc.kind.value, "cause": str(exc)})
+            return Response(400, b'{"error": "not a heartbeat"}')
+        if isinstance(said, Farewell):
+            self._do(self.core.handle_farewell(said.name, now))
+            return Response(200, b"{}")
+        verdict, effects = self.core.handle_heartbeat(said, now)
+        self._do(effects)
+        if verdict is Verdict.FOREIGN:
+            fields = {"reason": verdict.value, "backend": said.name, "service": said.service}
+            self.node.note("heartbeat-refused", fields)
+            return Response(409, b'{"error": "another service"}')
+        return Response(200, b"{}")
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        if request.path == "/readyz":
+            return Response(503 if self.core.leaving else 200, b"{}")
+        return Response(404, b'{"error": "no such page"}')
+
+    async def _join(self) -> None:
+        node = self.node
+        node.greet(self.core.build_report(trio.current_time(), asks_back=True), ())
+        await node.register()
+        while True:
+            now = trio.current_time()
+            heard = [
+                member
+                for member in node.fleet.list_balancers()
+                if now - member.heard_at < REJOIN_S
+            ]
+            if not heard:
+                members = await node.list_members()
+                now = trio.current_time()
+                for identity in members:
+                    node.fleet.note_listed(identity, now)
+                node.greet(self.core.build_report(now, asks_back=True), members)
+                addresses = [format_address(identity.address) for identity in members]
+                node.note("members-listed", {"count": len(addresses)})
+            await trio.sleep(REJOIN_S)
+
+    async def _tick(self) -> None:
+        while True:
+            await self._pending.wait()
+            while self.core.is_waiting():
+                await trio.sleep(TICK_S)
+                self.node.carry_out(self.core.tick(trio.current_time()))
+            self._pending = trio.Event()
+
+    async def _report_often(self) -> None:
+        while True:
+            await trio.sleep(min(REPORT_INTERVAL_S, IDLE_TICK_S))
+            now = trio.current_time()
+            self.node.carry_out(self.core.tick(now))
+            self.node.carry_out(self.core.report_to_all(now))
+            self.node.fleet.forget_lost(now)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -0,0 +1,270 @@
+"""Run a balancer on an entry instance."""
+
+import trio
+from attrs import define, field
+
+from fescueseam.exceptions import MessageError, StoreError
+from fescueseam.steering.balancer import Balancer
+from fescueseam.steering.members import Load, Role
+from fescueseam.steering.notices import Located, Report
+from fescueseam.steering.rules import Outage, RuleBook, Rules
+from fescueseam.steering.segments import format_address
+from fescueseam_daemon.steering.node import HTTP_PORT, IDLE_TICK_S, TICK_S, Node
+from fescueseam_daemon.steering.ports import OutageEvents
+from fescueseam_daemon.steering.rules_codec import decode_rules, encode_rules
+from fescueseam_daemon.steering.settings import Listener
+from fescueseam_daemon.steering.web import HttpClient, Request, Response
+
+REPORT_EVERY_S = 0.5
+"""Report to every member this often, in seconds."""
+WATCH_S = 5.0
+"""Let the store hold a watch this long, in seconds; a connection that went silent is noticed
+after it."""
+FETCH_TIMEOUT_S = 1.0
+"""Fetch a configuration from a peer within this time, in seconds."""
+FETCH_DELAY_S = 0.15
+"""Wait this long for the store before a newer configuration is fetched from a peer."""
+HANDOVER_S = 1.6
+"""Go on forwarding this long after the last ready answer, in seconds: the fabric asks twice a
+second and takes two misses."""
+HOMES_KEPT_S = 60.0
+"""Remember the home of an idle flow this long, in seconds, its longest life."""
+
+
+@define(eq=False)
+class BalancerProcess:
+    """Own a balancer's decisions and its node."""
+
+    node: Node
+    core: Balancer = field(init=False)
+    book: RuleBook = field(factory=RuleBook)
+    leaving: bool = False
+    _pending: trio.Event = field(factory=trio.Event)
+    _fetching: int = 0
+    _nursery: trio.Nursery | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.core = Balancer(self.node.fleet, self.book, trio.current_time())
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        node, settings = self.node, self.node.settings
+        node.start()
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(node.edge_packets.receive, self._take_packet)
+            nursery.start_soon(node.peer_packets.receive, self._take_return)
+            nursery.start_soon(node.notices.receive, self._take_notice)
+            nursery.start_soon(self._follow_rules)
+            nursery.start_soon(self._follow_outage)
+            nursery.start_soon(self._join)
+            nursery.start_soon(node.serve, settings.readiness, self._answer_readiness)
+            peer = Listener(settings.address, settings.peer_port + HTTP_PORT)
+            nursery.start_soon(node.serve, peer, self._answer_peer)
+            nursery.start_soon(node.serve_metrics)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._look_after)
+
+    async def leave(self) -> None:
+        """Say that this process is not ready, and go on until the fabric has noticed."""
+        self.leaving = True
+        self._report()
+        await trio.sleep(HANDOVER_S)
+
+    def is_ready(self) -> bool:
+        """Tell whether the fabric may send flows here."""
+        return not self.leaving and self.book.rules.version > 0 and bool(self.node.fleet.members)
+
+    def _take_packet(self, data: bytes, sender: str) -> None:
+        segment = self.node.decode(data, sender)
+        if segment is not None:
+            self._do(self.core.handle_packet(segment, trio.current_time()))
+
+    def _take_return(self, data: bytes, sender: str) -> None:
+        segment = self.node.decode(data, sender)
+        if segment is None:
+            return
+        if not segment.returned:
+            self.node.note("packet-malformed", {"reason": "not-returned", "sender": sender})
+            return
+        member = next(
+            (
+                item
+                for item in self.node.fleet.members.values()
+                if format_address(item.identity.address) == sender
+            ),
+            None,
+        )
+        address = 0 if member is None else member.identity.address
+        self._do(self.core.handle_return(segment, address, trio.current_time()))
+
+    def _take_notice(self, data: bytes, sender: str) -> None:
+        notice = self.node.decode_notice(data, sender)
+        if notice is None:
+            return
+        now = trio.current_time()
+        if isinstance(notice.body, Located):
+            self.node.fleet.note_heard(notice.sender, now)
+            self._do(self.core.handle_located(notice.sender, notice.body, now))
+        elif isinstance(notice.body, Report):
+            self._take_report(notice.body, notice.sequence, now)
+
+    def _take_report(self, body: Report, sequence: int, now: float) -> None:
+        node = self.node
+        news = node.take_report(body, sequence, now)
+        if body.identity.role is Role.BALANCER:
+            self._take_outage(body.outage, body.identity.name)
+            if body.rules_version > max(self.book.rules.version, self._fetching):
+                self._fetching = body.rules_version
+                assert self._nursery is not None, "notices are taken while the process runs"
+                self._nursery.start_soon(self._fetch_rules, body)
+        behind = body.rules_version < self.book.rules.version
+        behind = behind or body.outage.revision < self.book.outage.revision
+        if body.asks_back or (news and behind):
+            node.tell(body.identity.address, self._build_report(full=body.asks_back))
+
+    def _do(self, effects: list) -> None:  # type: ignore[type-arg]
+        self.node.carry_out(effects)
+        if (self.core.offers or self.core.searches) and not self._pending.is_set():
+            self._pending.set()
+
+    async def _join(self) -> None:
+        node = self.node
+        node.greet(self._build_report(asks_back=True), ())
+        members = await node.list_members()
+        now = trio.current_time()
+        for identity in members:
+            node.fleet.note_listed(identity, now)
+        self.core.knows_all = True
+        node.greet(self._build_report(asks_back=True), members)
+        node.note("members-listed", {"count": len(members)})
+        await node.register()
+
+    async def _follow_rules(self) -> None:
+        node = self.node
+        revision: int | None = None
+        while True:
+            try:
+                if revision is None:
+                    seen = await node.store.read_rules()
+                else:
+                    seen = await node.store.watch_rules(revision, WATCH_S)
+            except StoreError as exc:
+                revision = None
+                await node.wait_for_store(exc)
+                continue
+            revision = seen.revision
+            node.store_link.note_reached(trio.current_time())
+            if seen.rules is not None:
+                self._take_rules(seen.rules, "store")
+
+    async def _follow_outage(self) -> None:
+        node = self.node
+        outage: Outage | None = None
+        while True:
+            try:
+                if outage is None:
+                    outage = await node.store.read_outage()
+                else:
+                    events = await node.store.watch_outage(outage.revision, WATCH_S)
+                    outage = _apply_events(outage, events)
+            except StoreError as exc:
+                outage = None
+                await node.wait_for_store(exc)
+                continue
+            node.store_link.note_reached(trio.current_time())
+            self._take_outage(outage, "store")
+
+    def _take_rules(self, rules: Rules, source: str) -> None:
+        if self.book.take_rules(rules):
+            fields = {"config": rules.version, "routes": len(rules.routes), "source": source}
+            self.node.note("rules-taken", fields)
+            self._report()
+
+    def _take_outage(self, outage: Outage, source: str) -> None:
+        was = self.book.outage.data_centres
+        if self.book.take_outage(outage) and was != outage.data_centres:
+            fields = {
+                "out": sorted(outage.data_centres),
+                "revision": outage.revision,
+                "source": source,
+            }
+            self.node.note("outage-taken", fields)
+            self._report()
+
+    async def _fetch_rules(self, body: Report) -> None:
+        await trio.sleep(FETCH_DELAY_S)
+        if self.book.rules.version >= body.rules_version:
+            return
+        peer = body.identity
+        port = self.node.settings.peer_port + HTTP_PORT
+        client = HttpClient(format_address(peer.address), port)
+        try:
+            response = await client.request("GET", "/rules", None, FETCH_TIMEOUT_S)
+            self._take_rules(decode_rules(response.body), peer.name)
+        except (StoreError, MessageError) as exc:
+            self.node.note("rules-not-fetched", {"peer": peer.name, "cause": str(exc)})
+        finally:
+            self._fetching = 0
+            await client.close()
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        if request.path == "/readyz":
+            return Response(200 if self.is_ready() else 503, b"{}")
+        return Response(404, b'{"error": "no such page"}')
+
+    async def _answer_peer(self, request: Request) -> Response:
+        if request.path == "/rules":
+            return Response(200, encode_rules(self.book.rules))
+        return Response(404, b'{"error": "no such page"}')
+
+    async def _tick(self) -> None:
+        while True:
+            await self._pending.wait()
+            while self.core.offers or self.core.searches:
+                await trio.sleep(TICK_S)
+                self.node.carry_out(self.core.tick(trio.current_time()))
+            self._pending = trio.Event()
+
+    async def _look_after(self) -> None:
+        reported = 0.0
+        while True:
+            await trio.sleep(IDLE_TICK_S)
+            now = trio.current_time()
+            if now - reported >= REPORT_EVERY_S:
+                reported = now
+                self._report()
+            self.core.forget_idle(now, HOMES_KEPT_S)
+            for identity in self.node.fleet.forget_lost(now):
+                self.node.note("member-forgotten", {"member": identity.name})
+
+    def _report(self) -> None:
+        body = self._build_report()
+        for member in list(self.node.fleet.members.values()):
+            self.node.tell(member.identity.address, body)
+
+    def _build_report(self, asks_back: bool = False, full: bool = False) -> Report:
+        now = trio.current_time()
+        others = tuple(
+            member.identity
+            for member in self.node.fleet.members.values()
+            if not self.node.fleet.is_gone(member, now)
+            and (full or member.identity.role is Role.BALANCER)
+        )
+        return Report(
+            self.node.own,
+            Load(leaving=self.leaving),
+            self.book.rules.version,
+            self.book.outage,
+            tuple(
+                (service.name, service.cold_openings_per_s)
+                for service in self.book.rules.services
+            ),
+            others,
+            asks_back,
+        )
+
+
+def _apply_events(outage: Outage, events: OutageEvents) -> Outage:
+    remaining = (outage.data_centres | set(events.added)) - set(events.removed)
+    return Outage(max(outage.revision, events.revision), frozenset(remaining))
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/events.py
@@ -0,0 +1,172 @@
+"""Write structured log lines, and count what they say."""
+
+import json
+import logging
+import os
+from collections import Counter, deque
+from typing import Any
+
+from attrs import define, field
+
+LOGGER = logging.getLogger("fescueseam.steering")
+QUEUE_LINES = 2000
+"""Keep this many lines for a reader that is behind; later ones are counted and left out."""
+BURST_LINES = 100.0
+"""Let this many lines of one kind through at once."""
+BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+"""Bound the buckets of the histograms, in seconds."""
+
+
+class LineHandler(logging.Handler):
+    """Write one JSON object a line without ever waiting for the reader."""
+
+    def __init__(self, fd: int, instance: str) -> None:
+        """Make the descriptor non-blocking."""
+        super().__init__()
+        os.set_blocking(fd, False)
+        self._fd = fd
+        self._instance = instance
+        self._lines: deque[bytes] = deque()
+        self.left_out = 0
+        """Count the lines for which there was no room."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line and write what the reader takes."""
+        line = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if len(self._lines) >= QUEUE_LINES:
+            self.left_out += 1
+        else:
+            self._lines.append(json.dumps(line, default=str).encode() + b"\n")
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the queued lines that the reader takes now."""
+        while self._lines:
+            try:
+                written = os.write(self._fd, self._lines[0])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; the lines would only fill the memory.
+                self.left_out += len(self._lines)
+                self._lines.clear()
+                return
+            if written < len(self._lines[0]):
+                self._lines[0] = self._lines[0][written:]
+                return
+            self._lines.popleft()
+
+
+def configure_lines(instance: str, fd: int = 1) -> LineHandler:
+    """Send the log of this process to standard output."""
+    handler = LineHandler(fd, instance)
+    LOGGER.handlers[:] = [handler]
+    LOGGER.propagate = False
+    LOGGER.setLevel(logging.INFO)
+    return handler
+
+
+@define
+class _Bucket:
+    tokens: float
+    filled_at: float
+    left_out: int = 0
+
+
+@define
+class Events:
+    """Count events, and write those that keep to the bound on lines."""
+
+    lines_per_s: float
+    handler: LineHandler | None = None
+    counts: Counter[tuple[str, str]] = field(factory=Counter)
+    """Count events by name and reason."""
+    times: dict[tuple[str, str], list[int]] = field(factory=dict)
+    """Count observations by measure and service; one count a bucket, the last without bound."""
+    sums: Counter[tuple[str, str]] = field(factory=Counter)
+    _buckets: dict[str, _Bucket] = field(factory=dict)
+
+    def note(self, event: str, fields: dict[str, Any], now: float) -> None:
+        """Count an event and write its line if there is room for it."""
+        self.counts[event, str(fields.get("reason", ""))] += 1
+        bucket = self._buckets.get(event)
+        if bucket is None:
+            bucket = self._buckets[event] = _Bucket(BURST_LINES, now)
+        earned = (now - bucket.filled_at) * self.lines_per_s
+        bucket.tokens = min(BURST_LINES, bucket.tokens + earned)
+        bucket.filled_at = now
+        if bucket.tokens < 1:
+            bucket.left_out += 1
+            return
+        bucket.tokens -= 1
+        if bucket.left_out:
+            fields = {**fields, "left_out_before": bucket.left_out}
+            bucket.left_out = 0
+        LOGGER.info(event, extra={"fields": fields})
+
+    def observe(self, measure: str, service: str, value: float) -> None:
+        """Record a value, in seconds."""
+        counts = self.times.get((measure, service))
+        if counts is None:
+            counts = self.times[measure, service] = [0] * (len(BUCKETS_S) + 1)
+        index = sum(1 for bound in BUCKETS_S if value > bound)
+        counts[index] += 1
+        self.sums[measure, service] += value  # type: ignore[assignment]
+
+    def render(self, gauges: dict[str, float]) -> bytes:
+        """Return the metrics as text."""
+        # The library is read when somebody asks, because a start has to be quick.
+        from prometheus_client import CollectorRegistry, generate_latest
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        families: list[Any] = []
+        events = CounterMetricFamily(
+            "fescueseam_events", "Decisions and changes of belief.", labels=("event", "reason")
+        )
+        for (event, reason), count in self.counts.items():
+            events.add_metric((event, reason), count)
+        families.append(events)
+        left_out = self.handler.left_out if self.handler is not None else 0
+        lost = CounterMetricFamily("fescueseam_log_lines_left_out", "Lines without a reader.")
+        lost.add_metric((), left_out)
+        families.append(lost)
+        for name, value in gauges.items():
+            families.append(GaugeMetricFamily(f"fescueseam_{name}", name, value=value))
+        measures = {measure for measure, _ in self.times}
+        for measure in sorted(measures):
+            family = HistogramMetricFamily(
+                f"fescueseam_{measure}", f"Distribution of {measure}.", labels=("service",)
+            )
+            for (name, service), counts in self.times.items():
+                if name == measure:
+                    family.add_metric(
+                        (service,), _cumulate(counts), sum_value=self.sums[name, service]
+                    )
+            families.append(family)
+
+        class _Collector:
+            def collect(self) -> list[Any]:
+                return families
+
+        registry = CollectorRegistry()
+        registry.register(_Collector())  # type: ignore[arg-type]
+        return generate_latest(registry)
+
+
+def _cumulate(counts: list[int]) -> list[tuple[str, float]]:
+    total = 0
+    buckets = []
+    for bound, count in zip((*map(str, BUCKETS_S), "+Inf"), counts, strict=True):
+        total += count
+        buckets.append((bound, float(total)))
+    return buckets
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/ports.py
@@ -0,0 +1,74 @@
+"""Define what a surrounding platform provides to the daemons."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from fescueseam.steering.backend import Heartbeat
+from fescueseam.steering.members import Identity
+from fescueseam.steering.rules import Outage, Rules
+from fescueseam.steering.segments import PacketFormat
+
+
+@frozen
+class Farewell:
+    """Name a backend server that ends on purpose."""
+
+    name: str
+
+
+@frozen
+class RulesSeen:
+    """Hold the newest configuration that a read or a watch returned, and its revision."""
+
+    rules: Rules | None
+    revision: int
+
+
+@frozen
+class OutageEvents:
+    """Hold the changes to the data centres taken out since a revision."""
+
+    revision: int
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class ControlStore(Protocol):
+    """Read, watch and write what must last; failures raise StoreError."""
+
+    async def read_rules(self) -> RulesSeen:
+        """Return the configuration."""
+
+    async def watch_rules(self, revision: int, wait_s: float) -> RulesSeen:
+        """Wait for a newer configuration, for a bounded time."""
+
+    async def read_outage(self) -> Outage:
+        """Return the data centres that are taken out."""
+
+    async def watch_outage(self, revision: int, wait_s: float) -> OutageEvents:
+        """Wait for changes to the data centres taken out, for a bounded time."""
+
+    async def list_members(self) -> list[Identity]:
+        """Return the members that registered; the list may be seconds old."""
+
+    async def register(self, identity: Identity) -> bool:
+        """Write the own entry; return whether the store has changed."""
+
+    async def withdraw(self, name: str) -> None:
+        """Remove the entry of a member that is gone for good."""
+
+    async def close(self) -> None:
+        """Close every connection."""
+
+
+class Surroundings(Protocol):
+    """Provide the formats and calls of one platform."""
+
+    packets: PacketFormat
+
+    def open_store(self, address: str, port: int) -> ControlStore:
+        """Return a client of the store; nothing is sent yet."""
+
+    def read_heartbeat(self, method: str, path: str, body: bytes) -> Heartbeat | Farewell:
+        """Return what a backend server says; raise MessageError on anything else."""
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/rules_codec.py
@@ -0,0 +1,50 @@
+"""Write and read the configuration as balancers hand it to each other."""
+
+import json
+from typing import Any
+
+from fescueseam.exceptions import MessageError
+from fescueseam.steering.rules import Route, Rules, ServiceRules, Share
+
+
+def encode_rules(rules: Rules) -> bytes:
+    """Return a configuration as JSON."""
+    value = {
+        "version": rules.version,
+        "idle_timeout_s": rules.idle_timeout_s,
+        "services": [[item.name, item.cold_openings_per_s] for item in rules.services],
+        "routes": [
+            [
+                route.name,
+                route.address,
+                route.port,
+                [[share.service, share.weight] for share in route.shares],
+            ]
+            for route in rules.routes
+        ],
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_rules(data: bytes) -> Rules:
+    """Return a configuration; raise MessageError on anything else."""
+    try:
+        value: dict[str, Any] = json.loads(data)
+        return Rules(
+            version=int(value["version"]),
+            routes=tuple(
+                Route(
+                    str(name),
+                    int(address),
+                    int(port),
+                    tuple(Share(str(service), float(weight)) for service, weight in shares),
+                )
+                for name, address, port, shares in value["routes"]
+            ),
+            services=tuple(
+                ServiceRules(str(name), float(bound)) for name, bound in value["services"]
+            ),
+            idle_timeout_s=float(value["idle_timeout_s"]),
+        )
+    except (ValueError, TypeError, KeyError) as exc:
+        raise MessageError(f"not a configuration: {exc}") from exc
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/running.py
@@ -0,0 +1,72 @@
+"""Run one process from its settings to its end."""
+
+import random
+import signal
+from pathlib import Path
+
+import trio
+
+from fescueseam.exceptions import SettingsError
+from fescueseam.steering.members import Identity, Role
+from fescueseam.steering.segments import parse_address
+from fescueseam_daemon.steering.agent import AgentProcess
+from fescueseam_daemon.steering.balancer import BalancerProcess
+from fescueseam_daemon.steering.events import Events, configure_lines
+from fescueseam_daemon.steering.node import Node
+from fescueseam_daemon.steering.ports import Surroundings
+from fescueseam_daemon.steering.settings import SteeringSettings, load_settings
+
+INCARNATION_BITS = 63
+
+
+def run_process(path: Path, surroundings: Surroundings) -> None:
+    """Run until a signal asks for the end; raise SettingsError if the settings have faults."""
+    settings = load_settings(path)
+    handler = configure_lines(settings.instance)
+    events = Events(settings.log_lines_per_s, handler)
+    trio.run(_run, path, settings, surroundings, events)
+
+
+async def _run(
+    path: Path, settings: SteeringSettings, surroundings: Surroundings, events: Events
+) -> None:
+    rng = random.Random()
+    own = Identity(
+        settings.instance,
+        settings.role,
+        parse_address(settings.address),
+        settings.data_centre,
+        settings.service,
+        rng.getrandbits(INCARNATION_BITS),
+    )
+    node = Node(settings, surroundings, events, rng, own)
+    process: AgentProcess | BalancerProcess
+    process = AgentProcess(node) if settings.role is Role.AGENT else BalancerProcess(node)
+    fields = {"role": settings.role.value, "incarnation": own.incarnation}
+    node.note("started", {**fields, "address": settings.address, "service": settings.service})
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(process.run)
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    reload_settings(path, node)
+                node.note("stopping", fields)
+                await process.leave()
+                nursery.cancel_scope.cancel()
+        finally:
+            await node.close()
+            node.note("stopped", fields)
+
+
+def reload_settings(path: Path, node: Node) -> None:
+    """Take the settings that may change while a process runs; keep the old ones on a fault."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as exc:
+        node.note("settings-kept", {"cause": str(exc)})
+        return
+    node.settings = settings
+    node.events.lines_per_s = settings.log_lines_per_s
+    node.note("settings-reloaded", {"seeds": [str(seed) for seed in settings.seeds]})
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/web.py
@@ -0,0 +1,198 @@
+"""Speak HTTP/1.1 by `h11` over trio streams, as a server and as a client."""
+
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+from attrs import define, field, frozen
+
+from fescueseam.exceptions import SettingsError, StoreError
+
+REQUEST_TIMEOUT_S = 10.0
+"""Close a connection on which no whole request came within this time, in seconds."""
+CONNECT_TIMEOUT_S = 1.0
+"""Give up a connection that is not open after this time, in seconds; a round trip takes
+milliseconds."""
+BODY_LIMIT_BYTES = 64 * 1024
+"""Take no larger request; heartbeats are far smaller."""
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+"""Take no larger answer; the store lists about a megabyte at once."""
+CONNECTIONS_LIMIT = 64
+"""Serve this many connections at once."""
+IDLE_CONNECTIONS = 2
+"""Keep this many connections open between calls."""
+RECEIVE_BYTES = 65_536
+
+
+@frozen
+class Request:
+    """Hold one request."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@frozen
+class Response:
+    """Hold one response."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class LostResponseError(StoreError):
+    """Report a request whose answer did not come; it may have taken effect."""
+
+
+async def serve_http(address: str, port: int, handler: Handler) -> None:
+    """Serve requests until cancelled; raise SettingsError if the address cannot be bound."""
+    try:
+        listeners = await trio.open_tcp_listeners(port, host=address)
+    except OSError as exc:
+        raise SettingsError(f"cannot bind TCP {address}:{port}: {exc.strerror}") from exc
+    limiter = trio.CapacityLimiter(CONNECTIONS_LIMIT)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with limiter:
+            await _serve_connection(stream, handler)
+
+    await trio.serve_listeners(serve, listeners)
+
+
+async def _serve_connection(stream: trio.SocketStream, handler: Handler) -> None:
+    conn = h11.Connection(h11.SERVER)
+    async with stream:
+        try:
+            while True:
+                with trio.fail_after(REQUEST_TIMEOUT_S):
+                    request = await _read_request(conn, stream)
+                if request is None:
+                    return
+                response = await handler(request)
+                headers = [
+                    ("Content-Type", response.content_type),
+                    ("Content-Length", str(len(response.body))),
+                ]
+                head = h11.Response(status_code=response.status, headers=headers)
+                data = conn.send(head) or b""
+                data += conn.send(h11.Data(data=response.body)) or b""
+                data += conn.send(h11.EndOfMessage()) or b""
+                with trio.fail_after(REQUEST_TIMEOUT_S):
+                    await stream.send_all(data)
+                if conn.our_state is h11.MUST_CLOSE:
+                    return
+                conn.start_next_cycle()
+        except (h11.ProtocolError, trio.TooSlowError, trio.BrokenResourceError):
+            # The peer is at fault or gone; it opens another connection if it needs one.
+            return
+
+
+async def _read_request(conn: h11.Connection, stream: trio.SocketStream) -> Request | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > BODY_LIMIT_BYTES:
+                raise h11.RemoteProtocolError("the request is too large")
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return Request(head.method.decode(), head.target.decode(), bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+@define
+class HttpClient:
+    """Send requests to one server; connections are kept between calls."""
+
+    address: str
+    port: int
+    _idle: list[tuple[h11.Connection, trio.SocketStream]] = field(factory=list)
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> Response:
+        """Return the response; raise StoreError, or LostResponseError once something was sent."""
+        with trio.move_on_after(timeout_s):
+            return await self._request(method, target, body)
+        raise LostResponseError(f"{method} {target} was not answered within {timeout_s:g} s")
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop()[1])
+
+    async def _request(self, method: str, target: str, body: bytes | None) -> Response:
+        conn, stream = await self._take_connection()
+        try:
+            headers = [("Host", f"{self.address}:{self.port}")]
+            if body is not None:
+                headers.append(("Content-Type", "application/json"))
+                headers.append(("Content-Length", str(len(body))))
+            data = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
+            if body is not None:
+                data += conn.send(h11.Data(data=body)) or b""
+            data += conn.send(h11.EndOfMessage()) or b""
+            await stream.send_all(data)
+            response = await _read_response(conn, stream)
+        except (h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            await trio.aclose_forcefully(stream)
+            raise LostResponseError(f"{method} {target} was not answered: {exc}") from exc
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+            raise
+        if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+            conn.start_next_cycle()
+            if len(self._idle) < IDLE_CONNECTIONS:
+                self._idle.append((conn, stream))
+                return response
+        await trio.aclose_forcefully(stream)
+        return response
+
+    async def _take_connection(self) -> tuple[h11.Connection, trio.SocketStream]:
+        if self._idle:
+            return self._idle.pop()
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                sock = trio.socket.socket()
+                try:
+                    await sock.connect((self.address, self.port))
+                except BaseException:
+                    sock.close()
+                    raise
+        except trio.TooSlowError as exc:
+            raise StoreError(f"{self.address}:{self.port} cannot be reached") from exc
+        except OSError as exc:
+            where = f"{self.address}:{self.port}"
+            raise StoreError(f"{where} cannot be reached: {exc.strerror}") from exc
+        return h11.Connection(h11.CLIENT), trio.SocketStream(sock)
+
+
+async def _read_response(conn: h11.Connection, stream: trio.SocketStream) -> Response:
+    status = 0
+    body = bytearray()
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > ANSWER_LIMIT_BYTES:
+                raise h11.RemoteProtocolError("the answer is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            return Response(status, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("the connection was closed before the answer")
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -0,0 +1,326 @@
+"""Decide what a balancer does with the packets of callers."""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+from fescueseam.steering.choice import choose_agent
+from fescueseam.steering.effects import Effects, Hand, Note, Reset, Tell
+from fescueseam.steering.members import Fleet, Member, compute_tag
+from fescueseam.steering.notices import Holding, Locate, Located
+from fescueseam.steering.rules import RuleBook
+from fescueseam.steering.searches import (
+    ASK_INTERVAL_S,
+    ASK_LIMIT,
+    SEARCHES_LIMIT,
+    Search,
+)
+from fescueseam.steering.segments import FlowId, Mark, Purpose, Segment, format_flow
+
+OFFER_TIMEOUT_S = 0.06
+"""Offer an opening packet elsewhere after this time without an answer, in seconds."""
+HOMES_LIMIT = 65_536
+"""Bound the homes that are remembered; one that gave way is found again by asking."""
+TRIES_LIMIT = 8
+"""Offer an opening packet to this many agents before it is refused."""
+SETTLE_S = 2.0
+"""Refuse nothing for want of agents this soon after the start, in seconds; they announce
+themselves within a few report intervals."""
+
+
+@define
+class Home:
+    """Hold the agent that a flow's packets are handed to."""
+
+    agent: str
+    service: str
+    used_at: float
+
+
+@define(eq=False)
+class Offer:
+    """Hold an opening packet that an agent has not answered yet."""
+
+    segment: Segment
+    service: str
+    agent: str
+    sent_at: float
+    tried: set[str] = field(factory=set)
+    insists: bool = False
+
+
+@define(eq=False)
+class Balancer:
+    """Hand each packet to the agent of its flow; what it remembers may be lost at any time."""
+
+    fleet: Fleet
+    book: RuleBook
+    started: float
+    knows_all: bool = False
+    """Tell that the list of members was read once, so that an unheard agent is missed."""
+    homes: OrderedDict[FlowId, Home] = field(factory=OrderedDict)
+    offers: dict[FlowId, Offer] = field(factory=dict)
+    searches: dict[FlowId, Search] = field(factory=dict)
+
+    def handle_packet(self, segment: Segment, now: float) -> Effects:
+        """Return what to do with a packet from a caller."""
+        flow = segment.flow_from_caller()
+        search = self.searches.get(flow)
+        if search is not None:
+            search.keep(segment)
+            return []
+        if segment.opens:
+            return self._open(segment, flow, now)
+        home = self.homes.get(flow)
+        if home is None:
+            return self._search(segment, flow, now)
+        member = self.fleet.find(home.agent)
+        if member is None or self.fleet.is_gone(member, now):
+            del self.homes[flow]
+            return self._search(segment, flow, now)
+        home.used_at = now
+        self.homes.move_to_end(flow)
+        return [self._hand(segment, member, home.service, Purpose.DELIVER)]
+
+    def handle_return(self, segment: Segment, sender: int, now: float) -> Effects:
+        """Return what to do with a packet that an agent did not take."""
+        flow = segment.flow_from_caller()
+        member = self.fleet.find_at(sender)
+        name = member.identity.name if member is not None else ""
+        if segment.opens:
+            return self._offer_elsewhere(segment, flow, name, now)
+        search = self.searches.get(flow)
+        if search is not None:
+            if search.probing != name:
+                return []
+            search.probing = ""
+            search.asked[name] = Holding.NO
+            return self._advance(search, now)
+        home = self.homes.get(flow)
+        if home is not None and home.agent != name:
+            # The home became known after this packet was handed to another agent.
+            current = self.fleet.find(home.agent)
+            if current is not None:
+                return [self._hand(segment, current, home.service, Purpose.DELIVER)]
+        self.homes.pop(flow, None)
+        return self._search(segment, flow, now, exclude=name)
+
+    def handle_located(self, name: str, body: Located, now: float) -> Effects:
+        """Take an agent's word on a flow."""
+        flow = body.flow
+        offer = self.offers.get(flow)
+        if offer is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
+            del self.offers[flow]
+            if offer.agent != name:
+                self._remember(flow, name, offer.service, now)
+            return []
+        search = self.searches.get(flow)
+        if search is None or name not in search.asked:
+            return []
+        if body.holding in (Holding.YES, Holding.HALF_OPEN):
+            return self._settle(search, name, body.holding, now)
+        if search.asked[name] is None:
+            search.asked[name] = body.holding
+        return self._advance(search, now)
+
+    def tick(self, now: float) -> Effects:
+        """Return what is due: offers and searches that were not answered."""
+        effects: Effects = []
+        for flow, offer in list(self.offers.items()):
+            if now - offer.sent_at >= OFFER_TIMEOUT_S:
+                if self.fleet.note_unanswered(offer.agent, now):
+                    effects.append(Note("agent-unanswered", {"agent": offer.agent}))
+                effects += self._offer_elsewhere(offer.segment, flow, offer.agent, now)
+        for search in list(self.searches.values()):
+            if now >= search.next_ask:
+                effects += self._ask_again(search, now)
+        return effects
+
+    def forget_idle(self, now: float, idle_s: float) -> None:
+        """Forget the homes of flows that were idle for long."""
+        for flow, home in list(self.homes.items()):
+            if now - home.used_at < idle_s:
+                break
+            del self.homes[flow]
+
+    def _open(self, segment: Segment, flow: FlowId, now: float) -> Effects:
+        service = self.book.find_service(flow)
+        if service is None:
+            return self._refuse(segment, flow, "no-route", now)
+        if segment.attempt > 0:
+            # An earlier copy may have opened the flow through another balancer.
+            return self._search(segment, flow, now)
+        return self._place(segment, flow, service, set(), now)
+
+    def _place(
+        self, segment: Segment, flow: FlowId, service: str, tried: set[str], now: float
+    ) -> Effects:
+        insists = False
+        member = None
+        if len(tried) < TRIES_LIMIT:
+            member = choose_agent(self.fleet, self.book, service, tried, now)
+        if member is None:
+            insists = True
+            member = choose_agent(self.fleet, self.book, service, (), now)
+        if member is None:
+            return self._refuse(segment, flow, "no-agent", now, service)
+        name = member.identity.name
+        member.sent_since += 1
+        self.offers[flow] = Offer(segment, service, name, now, tried | {name}, insists)
+        self._remember(flow, name, service, now)
+        purpose = Purpose.INSIST if insists else Purpose.DELIVER
+        fields = {
+            "flow": format_flow(flow),
+            "service": service,
+            "agent": name,
+            "tried": len(tried),
+            "insists": insists,
+            "busy": member.load.busy,
+            "age_ms": round((now - member.heard_at) * 1000),
+            "config": self.book.rules.version,
+        }
+        return [Note("flow-offered", fields), self._hand(segment, member, service, purpose)]
+
+    def _offer_elsewhere(self, segment: Segment, flow: FlowId, name: str, now: float) -> Effects:
+        offer = self.offers.get(flow)
+        if offer is None or offer.agent != name:
+            return []
+        del self.offers[flow]
+        member = self.fleet.find(name)
+        if member is not None:
+            member.avoid_until = now + OFFER_TIMEOUT_S
+        if offer.insists:
+            self.homes.pop(flow, None)
+            return self._refuse(segment, flow, "no-room", now, offer.service)
+        return self._place(segment, flow, offer.service, offer.tried, now)
+
+    def _refuse(
+        self, segment: Segment, flow: FlowId, reason: str, now: float, service: str = ""
+    ) -> Effects:
+        fields = {
+            "flow": format_flow(flow),
+            "service": service,
+            "reason": reason,
+            "config": self.book.rules.version,
+        }
+        settled = self.book.rules.version > 0 and now - self.started >= SETTLE_S
+        if segment.attempt > 0 or not settled:
+            return [Note("opening-dropped", fields)]
+        return [Note("flow-refused", fields), Reset(segment)]
+
+    def _search(
+        self, segment: Segment, flow: FlowId, now: float, exclude: str = ""
+    ) -> Effects:
+        services = self.book.list_services(flow)
+        if not services:
+            if self.book.rules.version == 0:
+                return [Note("packet-dropped", {"flow": format_flow(flow), "reason": "no-rules"})]
+            return [
+                Note("flow-reset", {"flow": format_flow(flow), "reason": "no-route"}),
+                Reset(segment),
+            ]
+        if len(self.searches) >= SEARCHES_LIMIT:
+            return [Note("packet-dropped", {"flow": format_flow(flow), "reason": "searches-full"})]
+        asked: dict[str, Holding | None] = {
+            member.identity.name: None
+            for member in self.fleet.list_agents(services)
+            if member.identity.name != exclude and not self.fleet.is_gone(member, now)
+        }
+        search = Search(flow, services, asked, now, now + ASK_INTERVAL_S)
+        search.keep(segment)
+        self.searches[flow] = search
+        if not asked:
+            return self._advance(search, now)
+        return self._ask(search, list(asked))
+
+    def _ask(self, search: Search, names: list[str]) -> Effects:
+        effects: Effects = []
+        for name in names:
+            member = self.fleet.find(name)
+            if member is not None:
+                body = Locate(search.flow, member.identity.service)
+                effects.append(Tell(member.identity.address, body))
+        return effects
+
+    def _ask_again(self, search: Search, now: float) -> Effects:
+        search.next_ask = now + ASK_INTERVAL_S
+        if search.asks < ASK_LIMIT and not search.probing:
+            search.asks += 1
+            return self._ask(search, search.list_silent())
+        if search.probing:
+            search.asked[search.probing] = None
+            search.probing = ""
+            if search.next_unsure() is not None:
+                return self._advance(search, now)
+        elif search.next_unsure() is not None:
+            return self._probe(search)
+        return self._conclude(search, now)
+
+    def _advance(self, search: Search, now: float) -> Effects:
+        if search.list_silent() and search.asks < ASK_LIMIT:
+            return []
+        if search.probing:
+            return []
+        if search.next_unsure() is not None:
+            return self._probe(search)
+        return self._conclude(search, now)
+
+    def _probe(self, search: Search) -> Effects:
+        name = search.next_unsure()
+        segment = search.segments[0]
+        member = None if name is None else self.fleet.find(name)
+        if name is None or member is None:
+            return []
+        search.probing = name
+        search.probed.add(name)
+        return [self._hand(segment, member, member.identity.service, Purpose.PROBE)]
+
+    def _settle(self, search: Search, name: str, holding: Holding, now: float) -> Effects:
+        member = self.fleet.find(name)
+        if member is None:
+            return []
+        del self.searches[search.flow]
+        self._remember(search.flow, name, member.identity.service, now)
+        segments = search.segments
+        if name == search.probing and segments and not segments[0].opens:
+            segments = segments[1:]
+        fields = {
+            "flow": format_flow(search.flow),
+            "agent": name,
+            "holding": holding.name.lower(),
+            "took_ms": round((now - search.started) * 1000),
+        }
+        found: Effects = [Note("flow-found", fields)]
+        return found + [
+            self._hand(segment, member, member.identity.service, Purpose.DELIVER)
+            for segment in segments
+        ]
+
+    def _conclude(self, search: Search, now: float) -> Effects:
+        del self.searches[search.flow]
+        segment = search.segments[-1]
+        silent = search.list_silent()
+        openings = [item for item in search.segments if item.opens]
+        if len(openings) == len(search.segments):
+            service = self.book.find_service(search.flow)
+            if service is not None:
+                return self._place(segment, search.flow, service, set(silent), now)
+        fields = {
+            "flow": format_flow(search.flow),
+            "silent": silent,
+            "asked": len(search.asked),
+            "took_ms": round((now - search.started) * 1000),
+        }
+        if silent or not self.knows_all or not search.asked:
+            return [Note("packet-dropped", {**fields, "reason": "home-unknown"})]
+        return [Note("flow-reset", {**fields, "reason": "not-held"}), Reset(segment)]
+
+    def _remember(self, flow: FlowId, agent: str, service: str, now: float) -> None:
+        self.homes[flow] = Home(agent, service, now)
+        self.homes.move_to_end(flow)
+        if len(self.homes) > HOMES_LIMIT:
+            self.homes.popitem(last=False)
+
+    def _hand(self, segment: Segment, member: Member, service: str, purpose: Purpose) -> Hand:
+        mark = Mark(purpose, compute_tag(service), self.fleet.own.address)
+        return Hand(member.identity.address, segment, mark)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/choice.py
@@ -0,0 +1,61 @@
+"""Choose the agent that is offered a new flow."""
+
+from collections.abc import Collection
+
+from fescueseam.steering.members import QUIET_AFTER_S, Availability, Fleet, Member
+from fescueseam.steering.rules import RuleBook
+
+DEFAULT_SERVICE_TIME_S = 0.05
+"""Assume this time for a request of a backend server that has served none yet, in seconds."""
+REMOTE_PENALTY_S = 0.004
+"""Prefer a backend server of the own data centre by the round trip to another one, in seconds."""
+COLD_FACTOR = 3.0
+"""Weigh the service time of a cold backend server by this; it is slow and bears few openings."""
+FLOW_WEIGHT = 0.02
+"""Count an open idle flow as this part of a busy one; callers ask about this share of the time."""
+UNANSWERED_REST_S = 1.0
+"""Offer no flow to an agent for this long after it left one unanswered, in seconds."""
+
+
+def is_open_to_flows(member: Member, book: RuleBook, now: float) -> bool:
+    """Tell whether a member may be offered new flows."""
+    return (
+        member.load.availability is Availability.READY
+        and not member.load.leaving
+        and now - member.heard_at < QUIET_AFTER_S
+        and (member.unanswered_at is None or now - member.unanswered_at > UNANSWERED_REST_S)
+        and not book.is_out(member.identity.data_centre)
+    )
+
+
+def estimate_delay(member: Member, data_centre: str) -> float:
+    """Return about how long a new request would take at a member, in seconds."""
+    load = member.load
+    service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
+    if load.cold:
+        service_time_s *= COLD_FACTOR
+    slots = max(1, load.slots)
+    mean_busy = load.utilisation * slots
+    expected = (load.busy + mean_busy) / 2 + member.sent_since + FLOW_WEIGHT * load.flows
+    delay_s = service_time_s * (1 + expected / slots)
+    if member.identity.data_centre != data_centre:
+        delay_s += REMOTE_PENALTY_S
+    return delay_s
+
+
+def choose_agent(
+    fleet: Fleet, book: RuleBook, service: str, tried: Collection[str], now: float
+) -> Member | None:
+    """Return the agent where a new flow is likely to be served soonest."""
+    candidates = [
+        member
+        for member in fleet.list_agents((service,))
+        if member.identity.name not in tried and is_open_to_flows(member, book, now)
+    ]
+    rested = [member for member in candidates if member.avoid_until <= now]
+    if not candidates:
+        return None
+    return min(
+        rested or candidates,
+        key=lambda member: (estimate_delay(member, fleet.own.data_centre), member.identity.name),
+    )
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/codec.py
@@ -0,0 +1,135 @@
+"""Encode and decode notices as packed Cap'n Proto datagrams."""
+
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from fescueseam.exceptions import MessageError
+from fescueseam.steering.members import Availability, Identity, Load, Role
+from fescueseam.steering.notices import Body, Holding, Locate, Located, Notice, Report
+from fescueseam.steering.rules import Outage
+from fescueseam.steering.segments import FlowId
+
+TRAVERSAL_LIMIT_WORDS = 1 << 16
+"""Bound what a decoder walks through in one notice, in words of 8 bytes."""
+MEMBERS_LIMIT = 64
+"""Name at most this many members in one report, so that it fits into one datagram."""
+
+capnp.remove_import_hook()
+_schema: Any = capnp.load(str(Path(__file__).with_name("schema.capnp")))
+
+
+def encode_notice(notice: Notice) -> bytes:
+    """Return the datagram of a notice."""
+    message = _schema.Notice.new_message(
+        sender=notice.sender, incarnation=notice.incarnation, sequence=notice.sequence
+    )
+    body = notice.body
+    if isinstance(body, Report):
+        _write_report(message.body.init("report"), body)
+    elif isinstance(body, Locate):
+        target = message.body.init("locate")
+        _write_flow(target.flow, body.flow)
+        target.service = body.service
+    else:
+        answer = message.body.init("located")
+        _write_flow(answer.flow, body.flow)
+        answer.holding = int(body.holding)
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_notice(datagram: bytes) -> Notice:
+    """Return the notice of a datagram; raise MessageError on anything else."""
+    try:
+        message = _schema.Notice.from_bytes_packed(
+            datagram, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        )
+        return Notice(message.sender, message.incarnation, message.sequence, _read_body(message))
+    except Exception as exc:  # the codec raises several unrelated classes on garbage
+        raise MessageError(str(exc).partition("\n")[0]) from exc
+
+
+def _read_body(message: Any) -> Body:
+    which = message.body.which()
+    if which == "report":
+        return _read_report(message.body.report)
+    if which == "locate":
+        return Locate(_read_flow(message.body.locate.flow), message.body.locate.service)
+    answer = message.body.located
+    return Located(_read_flow(answer.flow), Holding(answer.holding))
+
+
+def _write_flow(target: Any, flow: FlowId) -> None:
+    target.caller, target.callerPort, target.service, target.servicePort = flow
+
+
+def _read_flow(source: Any) -> FlowId:
+    return (source.caller, source.callerPort, source.service, source.servicePort)
+
+
+def _write_identity(target: Any, identity: Identity) -> None:
+    target.name = identity.name
+    target.role = identity.role.value
+    target.address = identity.address
+    target.dataCentre = identity.data_centre
+    target.service = identity.service
+    target.incarnation = identity.incarnation
+
+
+def _read_identity(source: Any) -> Identity:
+    return Identity(
+        source.name,
+        Role(source.role),
+        source.address,
+        source.dataCentre,
+        source.service,
+        source.incarnation,
+    )
+
+
+def _write_report(target: Any, body: Report) -> None:
+    _write_identity(target.identity, body.identity)
+    load = target.load
+    load.availability = body.load.availability.value
+    load.busy = body.load.busy
+    load.flows = body.load.flows
+    load.slots = body.load.slots
+    load.utilisation = body.load.utilisation
+    load.serviceTimeS = body.load.service_time_s
+    load.cold = body.load.cold
+    load.leaving = body.load.leaving
+    target.rulesVersion = body.rules_version
+    target.outageRevision = body.outage.revision
+    target.dataCentresOut = sorted(body.outage.data_centres)
+    bounds = target.init("coldBounds", len(body.cold_bounds))
+    for item, (service, openings_per_s) in zip(bounds, body.cold_bounds, strict=True):
+        item.service = service
+        item.openingsPerS = openings_per_s
+    others = body.others[:MEMBERS_LIMIT]
+    for item, identity in zip(target.init("others", len(others)), others, strict=True):
+        _write_identity(item, identity)
+    target.asksBack = body.asks_back
+
+
+def _read_report(source: Any) -> Report:
+    load = source.load
+    return Report(
+        identity=_read_identity(source.identity),
+        load=Load(
+            Availability(load.availability),
+            load.busy,
+            load.flows,
+            load.slots,
+            load.utilisation,
+            load.serviceTimeS,
+            load.cold,
+            load.leaving,
+        ),
+        rules_version=source.rulesVersion,
+        outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
+        cold_bounds=tuple((item.service, item.openingsPerS) for item in source.coldBounds),
+        others=tuple(_read_identity(item) for item in source.others),
+        asks_back=source.asksBack,
+    )
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/flows.py
@@ -0,0 +1,132 @@
+"""Hold the flows of one backend server."""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+from fescueseam.steering.segments import SEQUENCE_MODULUS, FlowId, Segment, is_after
+
+FLOWS_LIMIT = 8192
+"""Bound the flows that are remembered, above what a backend server takes."""
+ENDED_KEPT_S = 10.0
+"""Keep an ended flow this long, in seconds: its last packets may be sent again until then."""
+HALF_OPEN_KEPT_S = 5.0
+"""Keep a flow without a caller's answer this long, in seconds: callers give up before."""
+HANDSHAKE_S = 0.1
+"""Count a flow whose handshake is under way as busy for this long, in seconds."""
+
+
+@define(eq=False)
+class Flow:
+    """Hold one flow as its packets show it."""
+
+    opened_at: float
+    used_at: float
+    is_open: bool = False
+    """Tell that the backend server has taken a packet after the handshake."""
+    answered: bool = False
+    """Tell that the backend server has sent something on it."""
+    request_at: float | None = None
+    """Hold when the newest part of a request without an answer arrived."""
+    sent_end: int | None = None
+    """Hold the sequence number after the newest data from the caller."""
+    caller_finished: bool = False
+    server_finished: bool = False
+    probe_origin: int = 0
+    """Hold the balancer that is told if the backend server does not hold the flow."""
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether both ends have finished."""
+        return self.caller_finished and self.server_finished
+
+
+@define
+class FlowTable:
+    """Hold the flows of one backend server, the one used least lately first."""
+
+    flows: OrderedDict[FlowId, Flow] = field(factory=OrderedDict)
+    busy: int = 0
+    """Count the flows with a request at work."""
+
+    def find(self, flow: FlowId) -> Flow | None:
+        """Return a flow."""
+        return self.flows.get(flow)
+
+    def add(self, flow: FlowId, now: float) -> Flow:
+        """Add a flow; the one used least lately gives way beyond the bound."""
+        if len(self.flows) >= FLOWS_LIMIT:
+            self.remove(next(iter(self.flows)))
+        entry = self.flows[flow] = Flow(now, now)
+        return entry
+
+    def remove(self, flow: FlowId) -> Flow | None:
+        """Forget a flow."""
+        entry = self.flows.pop(flow, None)
+        if entry is not None and entry.request_at is not None:
+            self.busy -= 1
+        return entry
+
+    def clear(self) -> None:
+        """Forget every flow, because the backend server has started anew."""
+        self.flows.clear()
+        self.busy = 0
+
+    def note_from_caller(self, flow: FlowId, entry: Flow, segment: Segment, now: float) -> None:
+        """Account for a packet on its way to the backend server."""
+        entry.used_at = now
+        self.flows.move_to_end(flow)
+        if segment.finishes:
+            entry.caller_finished = True
+        if segment.data_bytes == 0:
+            return
+        end = (segment.sequence + segment.data_bytes) % SEQUENCE_MODULUS
+        if entry.sent_end is not None and not is_after(end, entry.sent_end):
+            return
+        entry.sent_end = end
+        if entry.request_at is None:
+            self.busy += 1
+        entry.request_at = now
+
+    def note_from_server(self, flow: FlowId, entry: Flow, segment: Segment, now: float) -> float | None:
+        """Account for the backend server's packet; return a request's service time, if it ends."""
+        entry.used_at = now
+        entry.answered = True
+        self.flows.move_to_end(flow)
+        if segment.finishes:
+            entry.server_finished = True
+        ends = segment.data_bytes > 0 or segment.resets or segment.finishes
+        if entry.request_at is None or not ends:
+            return None
+        service_time_s = now - entry.request_at
+        entry.request_at = None
+        self.busy -= 1
+        return service_time_s
+
+    def count_open(self) -> int:
+        """Return the number of flows that have not ended."""
+        return sum(1 for entry in self.flows.values() if not entry.ended)
+
+    def count_handshakes(self, now: float) -> int:
+        """Return the flows whose first request is about to come."""
+        count = 0
+        for entry in reversed(self.flows.values()):
+            if now - entry.used_at > HANDSHAKE_S:
+                break
+            if entry.sent_end is None and now - entry.opened_at <= HANDSHAKE_S:
+                count += 1
+        return count
+
+    def expire(self, now: float, idle_s: float) -> None:
+        """Forget flows that ended, never opened, or were idle for long."""
+        for flow, entry in list(self.flows.items()):
+            idle = now - entry.used_at
+            if idle < HALF_OPEN_KEPT_S:
+                break
+            kept = idle_s
+            if entry.ended:
+                kept = ENDED_KEPT_S
+            elif not entry.is_open:
+                kept = HALF_OPEN_KEPT_S
+            if idle >= kept:
+                self.remove(flow)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -0,0 +1,199 @@
+"""Hold what one process believes of the others."""
+
+import functools
+import hashlib
+from collections.abc import Iterable
+from enum import StrEnum
+
+from attrs import define, evolve, field, frozen
+
+REPORT_INTERVAL_S = 0.25
+"""Agents report this often, in seconds; a balancer's view of load is at most this old."""
+QUIET_AFTER_S = 0.8
+"""Give no new flow to an agent unheard for three reports, in seconds."""
+GONE_AFTER_S = 4.0
+"""Take a member unheard for this long for gone, in seconds: a restart takes less."""
+FORGET_AFTER_S = 60.0
+"""Forget a member unheard for a flow's longest life, in seconds."""
+
+
+class Role(StrEnum):
+    """Name what a process does."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+class Availability(StrEnum):
+    """Tell whether a backend server may get new flows."""
+
+    ABSENT = "absent"
+    """No backend server has announced itself to the agent, or it stopped answering."""
+    READY = "ready"
+    DRAINING = "draining"
+    LEFT = "left"
+    """The backend server has ended on purpose."""
+
+
+@frozen
+class Identity:
+    """Say who a process is and where it is reached."""
+
+    name: str
+    role: Role
+    address: int
+    data_centre: str
+    service: str = ""
+    incarnation: int = 0
+
+
+@frozen
+class Load:
+    """Hold what an agent says of its backend server."""
+
+    availability: Availability = Availability.ABSENT
+    busy: int = 0
+    """Count the flows whose request is at work."""
+    flows: int = 0
+    slots: int = 0
+    utilisation: float = 0.0
+    """Hold the busy requests per slot, averaged over some seconds."""
+    service_time_s: float = 0.0
+    cold: bool = False
+    leaving: bool = False
+    """Tell that the agent itself is about to end."""
+
+
+@define
+class Member:
+    """Hold the newest that was heard of one process."""
+
+    identity: Identity
+    heard_at: float
+    """Hold when it was last heard, by this process's steady clock; long ago if only listed."""
+    load: Load = field(factory=Load)
+    sequence: int = 0
+    sent_since: int = 0
+    """Count the flows sent there since its last report."""
+    unanswered_at: float | None = None
+    """Hold when it left a packet unanswered, until it is heard again."""
+    avoid_until: float = 0.0
+    """Offer it no new flow before this time, because it has just turned one down."""
+
+
+@define
+class Fleet:
+    """Hold every known member by name."""
+
+    own: Identity
+    members: dict[str, Member] = field(factory=dict)
+
+    def note_listed(self, identity: Identity, now: float) -> bool:
+        """Take a member from a list; return whether it is new here."""
+        if identity.name == self.own.name or identity.address == self.own.address:
+            return False
+        known = self.members.get(identity.name)
+        if known is not None and known.identity.address == identity.address:
+            return False
+        if known is not None and known.heard_at > now - GONE_AFTER_S:
+            return False
+        if any(
+            member.identity.address == identity.address and member.heard_at > now - GONE_AFTER_S
+            for member in self.members.values()
+        ):
+            return False
+        self._add(identity, now)
+        return True
+
+    def note_report(self, identity: Identity, load: Load, sequence: int, now: float) -> bool:
+        """Take a member's own report; return whether it is news of its identity or state."""
+        if identity.name == self.own.name:
+            return False
+        known = self.members.get(identity.name)
+        if known is not None and known.identity.address == identity.address:
+            if identity.incarnation == known.identity.incarnation and sequence <= known.sequence:
+                return False
+            changed = known.identity != identity or (
+                known.load.availability,
+                known.load.leaving,
+            ) != (load.availability, load.leaving)
+            known.identity = identity
+        else:
+            known = self._add(identity, now)
+            changed = True
+        known.load = load
+        known.sequence = sequence
+        known.heard_at = now
+        known.sent_since = 0
+        known.unanswered_at = None
+        return changed
+
+    def note_heard(self, name: str, now: float) -> None:
+        """Note any message from a member."""
+        member = self.members.get(name)
+        if member is not None:
+            member.heard_at = now
+            member.unanswered_at = None
+
+    def note_unanswered(self, name: str, now: float) -> bool:
+        """Note a packet that a member did not answer; return whether that is news."""
+        member = self.members.get(name)
+        if member is None or member.unanswered_at is not None:
+            return False
+        member.unanswered_at = now
+        return True
+
+    def find(self, name: str) -> Member | None:
+        """Return a member by name."""
+        return self.members.get(name)
+
+    def find_at(self, address: int) -> Member | None:
+        """Return the member at an address."""
+        for member in self.members.values():
+            if member.identity.address == address:
+                return member
+        return None
+
+    def list_agents(self, services: Iterable[str]) -> list[Member]:
+        """Return the agents of services, by name."""
+        wanted = set(services)
+        found = [
+            member
+            for member in self.members.values()
+            if member.identity.role is Role.AGENT and member.identity.service in wanted
+        ]
+        return sorted(found, key=lambda member: member.identity.name)
+
+    def list_balancers(self) -> list[Member]:
+        """Return the balancers."""
+        return [item for item in self.members.values() if item.identity.role is Role.BALANCER]
+
+    def is_gone(self, member: Member, now: float) -> bool:
+        """Tell whether a member has been unheard for too long to hold flows."""
+        return now - member.heard_at >= GONE_AFTER_S
+
+    def forget_lost(self, now: float) -> list[Identity]:
+        """Forget the members unheard for very long; return them."""
+        lost = [item for item in self.members.values() if now - item.heard_at >= FORGET_AFTER_S]
+        for member in lost:
+            del self.members[member.identity.name]
+        return [member.identity for member in lost]
+
+    def _add(self, identity: Identity, now: float) -> Member:
+        # An address belongs to one process at a time; the newest holder replaces earlier ones.
+        for name, member in list(self.members.items()):
+            if member.identity.address == identity.address:
+                del self.members[name]
+        member = self.members[identity.name] = Member(identity, heard_at=now)
+        return member
+
+
+@functools.lru_cache(maxsize=4096)
+def compute_tag(service: str) -> int:
+    """Return the 16 bits that stand for a service beside a packet."""
+    return int.from_bytes(hashlib.blake2b(service.encode(), digest_size=2).digest())
+
+
+def with_incarnation(identity: Identity, incarnation: int) -> Identity:
+    """Return an identity of a later start."""
+    return evolve(identity, incarnation=incarnation)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/searches.py
@@ -0,0 +1,49 @@
+"""Find the agent that holds a flow which this balancer does not know."""
+
+from attrs import define, field
+
+from fescueseam.steering.notices import Holding
+from fescueseam.steering.segments import FlowId, Segment
+
+ASK_INTERVAL_S = 0.08
+"""Ask agents that have not answered again after this time, in seconds."""
+ASK_LIMIT = 3
+"""Ask this many times; a caller sends its packet again after about as long."""
+KEPT_SEGMENTS = 17
+"""Keep this many packets of one flow: a whole window and an opening packet."""
+SEARCHES_LIMIT = 4096
+"""Bound the searches under way; the packets beyond it are dropped and come again."""
+
+
+@define(eq=False)
+class Search:
+    """Hold one question to the agents of a service."""
+
+    flow: FlowId
+    services: tuple[str, ...]
+    asked: dict[str, Holding | None]
+    """Hold the answer of each agent by name; None until it comes."""
+    started: float
+    next_ask: float
+    asks: int = 1
+    probing: str = ""
+    """Name the agent that is being tried with the packet itself."""
+    probed: set[str] = field(factory=set)
+    excluded: set[str] = field(factory=set)
+    segments: list[Segment] = field(factory=list)
+
+    def keep(self, segment: Segment) -> None:
+        """Keep a packet until the home is known; one beyond the bound is sent again anyway."""
+        if len(self.segments) < KEPT_SEGMENTS:
+            self.segments.append(segment)
+
+    def list_silent(self) -> list[str]:
+        """Return the agents that have not answered."""
+        return [name for name, holding in self.asked.items() if holding is None]
+
+    def next_unsure(self) -> str | None:
+        """Return an agent that may hold the flow and was not tried yet."""
+        for name, holding in self.asked.items():
+            if holding is Holding.UNSURE and name not in self.probed:
+                return name
+        return None
