Offer an opening packet elsewhere after its agent had answered, and test flows without a network

Cause: the balancer forgot an opening packet once the agent had said that it was delivered, so one that the backend server returned or left unanswered came to nothing until the caller's copy, 200 ms later; and an agent that had returned a packet for drain could be insisted on.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -91,9 +91,7 @@
     async def _answer_heartbeat(self, request: Request) -> Response:
         now = trio.current_time()
         try:
-            said = self.node.surroundings.read_heartbeat(
-                request.method, request.path, request.body
-            )
+            said = self.node.surroundings.read_heartbeat(request.method, request.path, request.body)
         except MessageError as exc:
             self.node.note("heartbeat-malformed", {"reason": exc.kind.value, "cause": str(exc)})
             return Response(400, b'{"error": "not a heartbeat"}')
@@ -120,9 +118,7 @@
         while True:
             now = trio.current_time()
             heard = [
-                member
-                for member in node.fleet.list_balancers()
-                if now - member.heard_at < REJOIN_S
+                member for member in node.fleet.list_balancers() if now - member.heard_at < REJOIN_S
             ]
             if not heard:
                 members = await node.list_members()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -257,8 +257,7 @@
             self.book.rules.version,
             self.book.outage,
             tuple(
-                (service.name, service.cold_openings_per_s)
-                for service in self.book.rules.services
+                (service.name, service.cold_openings_per_s) for service in self.book.rules.services
             ),
             others,
             asks_back,
--- a/packages/fescueseam/src/fescueseam/steering/agent.py
+++ b/packages/fescueseam/src/fescueseam/steering/agent.py
@@ -25,8 +25,8 @@
 """Weigh a new service time by this part in the running mean."""
 IDLE_KEPT_S = 60.0
 """Forget a flow idle for longer than any is kept by callers, in seconds."""
-LATEST_OPENING_AGE_S = 0.5
-"""Drop what waited this long to be read: its sender has sent it again since."""
+BUSY = "busy"
+"""Name the one objection that passes by itself within a service time."""
 
 
 @define(eq=False)
@@ -216,13 +216,11 @@
             fields = {"flow": format_flow(flow), "unanswered": self.backend.unanswered}
             effects.append(Note("opening-unanswered", fields))
             segment = waiting.segment
-            effects.append(self._return(segment, segment.mark.origin, Purpose.NO_ROOM))
+            effects.append(self._return(segment, segment.mark.origin, Purpose.NOT_ADMITTING))
         self.flows.expire(now, IDLE_KEPT_S)
         return effects
 
-    def _admit(
-        self, segment: Segment, flow: FlowId, entry: Flow | None, now: float
-    ) -> Effects:
+    def _admit(self, segment: Segment, flow: FlowId, entry: Flow | None, now: float) -> Effects:
         origin = segment.mark.origin
         if entry is not None and not entry.ended:
             # A copy of an opening packet that was delivered before.
@@ -235,10 +233,8 @@
                 "busy": self.flows.busy,
                 "heartbeat_age_ms": round((now - self.backend.heard_at) * 1000),
             }
-            return [
-                Note("opening-returned", fields),
-                self._return(segment, origin, Purpose.NO_ROOM),
-            ]
+            purpose = Purpose.NO_ROOM if reason == BUSY else Purpose.NOT_ADMITTING
+            return [Note("opening-returned", fields), self._return(segment, origin, purpose)]
         if entry is not None:
             self.flows.remove(flow)
         self.flows.add(flow, now)
@@ -272,7 +268,7 @@
             return "cold"
         busy = self.flows.busy + self.flows.count_handshakes(now)
         limit = current.slots * (INSIST_FACTOR if purpose is Purpose.INSIST else 1)
-        return "busy" if busy >= limit else ""
+        return BUSY if busy >= limit else ""
 
     def _find_holding(self, body: Locate) -> Holding:
         entry = self.flows.find(body.flow)
@@ -293,7 +289,7 @@
             fields = {"flow": format_flow(flow), "reason": "backend-returned"}
             return [
                 Note("opening-returned", fields),
-                self._return(segment, origin, Purpose.NO_ROOM),
+                self._return(segment, origin, Purpose.NOT_ADMITTING),
             ]
         entry = self.flows.remove(flow)
         if entry is not None and entry.is_open and not entry.ended:
--- a/packages/fescueseam/src/fescueseam/steering/balancer.py
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -19,6 +19,8 @@
 
 OFFER_TIMEOUT_S = 0.06
 """Offer an opening packet elsewhere after this time without an answer, in seconds."""
+OFFER_KEPT_S = 0.4
+"""Keep a delivered opening packet this long, in seconds: the backend server may still return it."""
 HOMES_LIMIT = 65_536
 """Bound the homes that are remembered; one that gave way is found again by asking."""
 TRIES_LIMIT = 8
@@ -39,14 +41,19 @@
 
 @define(eq=False)
 class Offer:
-    """Hold an opening packet that an agent has not answered yet."""
+    """Hold an opening packet until the caller has answered the handshake."""
 
     segment: Segment
     service: str
     agent: str
     sent_at: float
     tried: set[str] = field(factory=set)
+    """Name the agents that the packet was offered to."""
+    closed: set[str] = field(factory=set)
+    """Name those that would not take it with free slots either."""
     insists: bool = False
+    delivered: bool = False
+    """Tell that the agent has delivered the packet to its backend server."""
 
 
 @define(eq=False)
@@ -71,6 +78,7 @@
             return []
         if segment.opens:
             return self._open(segment, flow, now)
+        self.offers.pop(flow, None)
         home = self.homes.get(flow)
         if home is None:
             return self._search(segment, flow, now)
@@ -88,7 +96,8 @@
         member = self.fleet.find_at(sender)
         name = member.identity.name if member is not None else ""
         if segment.opens:
-            return self._offer_elsewhere(segment, flow, name, now)
+            closed = segment.mark.purpose is not Purpose.NO_ROOM
+            return self._offer_elsewhere(segment, flow, name, closed, now)
         search = self.searches.get(flow)
         if search is not None:
             if search.probing != name:
@@ -110,9 +119,8 @@
         flow = body.flow
         offer = self.offers.get(flow)
         if offer is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
-            del self.offers[flow]
-            if offer.agent != name:
-                self._remember(flow, name, offer.service, now)
+            if offer.agent == name:
+                offer.delivered = True
             return []
         search = self.searches.get(flow)
         if search is None or name not in search.asked:
@@ -127,10 +135,14 @@
         """Return what is due: offers and searches that were not answered."""
         effects: Effects = []
         for flow, offer in list(self.offers.items()):
-            if now - offer.sent_at >= OFFER_TIMEOUT_S:
+            age_s = now - offer.sent_at
+            if offer.delivered:
+                if age_s >= OFFER_KEPT_S:
+                    del self.offers[flow]
+            elif age_s >= OFFER_TIMEOUT_S:
                 if self.fleet.note_unanswered(offer.agent, now):
                     effects.append(Note("agent-unanswered", {"agent": offer.agent}))
-                effects += self._offer_elsewhere(offer.segment, flow, offer.agent, now)
+                effects += self._offer_elsewhere(offer.segment, flow, offer.agent, True, now)
         for search in list(self.searches.values()):
             if now >= search.next_ask:
                 effects += self._ask_again(search, now)
@@ -153,35 +165,46 @@
         return self._place(segment, flow, service, set(), now)
 
     def _place(
-        self, segment: Segment, flow: FlowId, service: str, tried: set[str], now: float
+        self, segment: Segment, flow: FlowId, service: str, avoided: set[str], now: float
     ) -> Effects:
-        insists = False
+        offer = Offer(segment, service, "", now, set(avoided), set(avoided))
+        return self._make_offer(offer, flow, now)
+
+    def _make_offer(self, offer: Offer, flow: FlowId, now: float) -> Effects:
         member = None
-        if len(tried) < TRIES_LIMIT:
-            member = choose_agent(self.fleet, self.book, service, tried, now)
+        if not offer.insists and len(offer.tried) < TRIES_LIMIT:
+            member = choose_agent(self.fleet, self.book, offer.service, offer.tried, now)
         if member is None:
-            insists = True
-            member = choose_agent(self.fleet, self.book, service, (), now)
+            offer.insists = True
+            member = choose_agent(self.fleet, self.book, offer.service, offer.closed, now)
         if member is None:
-            return self._refuse(segment, flow, "no-agent", now, service)
-        name = member.identity.name
-        member.sent_since += 1
-        self.offers[flow] = Offer(segment, service, name, now, tried | {name}, insists)
-        self._remember(flow, name, service, now)
-        purpose = Purpose.INSIST if insists else Purpose.DELIVER
+            self.homes.pop(flow, None)
+            reason = "no-room" if offer.tried else "no-agent"
+            return self._refuse(offer.segment, flow, reason, now, offer.service)
         fields = {
             "flow": format_flow(flow),
-            "service": service,
-            "agent": name,
-            "tried": len(tried),
-            "insists": insists,
+            "service": offer.service,
+            "agent": member.identity.name,
+            "tried": len(offer.tried),
+            "insists": offer.insists,
             "busy": member.load.busy,
             "age_ms": round((now - member.heard_at) * 1000),
             "config": self.book.rules.version,
         }
-        return [Note("flow-offered", fields), self._hand(segment, member, service, purpose)]
+        offer.agent = member.identity.name
+        offer.tried.add(offer.agent)
+        offer.sent_at = now
+        offer.delivered = False
+        member.sent_since += 1
+        self.offers[flow] = offer
+        self._remember(flow, offer.agent, offer.service, now)
+        purpose = Purpose.INSIST if offer.insists else Purpose.DELIVER
+        hand = self._hand(offer.segment, member, offer.service, purpose)
+        return [Note("flow-offered", fields), hand]
 
-    def _offer_elsewhere(self, segment: Segment, flow: FlowId, name: str, now: float) -> Effects:
+    def _offer_elsewhere(
+        self, segment: Segment, flow: FlowId, name: str, closed: bool, now: float
+    ) -> Effects:
         offer = self.offers.get(flow)
         if offer is None or offer.agent != name:
             return []
@@ -189,10 +212,9 @@
         member = self.fleet.find(name)
         if member is not None:
             member.avoid_until = now + OFFER_TIMEOUT_S
-        if offer.insists:
-            self.homes.pop(flow, None)
-            return self._refuse(segment, flow, "no-room", now, offer.service)
-        return self._place(segment, flow, offer.service, offer.tried, now)
+        if closed or offer.insists:
+            offer.closed.add(name)
+        return self._make_offer(offer, flow, now)
 
     def _refuse(
         self, segment: Segment, flow: FlowId, reason: str, now: float, service: str = ""
@@ -208,9 +230,7 @@
             return [Note("opening-dropped", fields)]
         return [Note("flow-refused", fields), Reset(segment)]
 
-    def _search(
-        self, segment: Segment, flow: FlowId, now: float, exclude: str = ""
-    ) -> Effects:
+    def _search(self, segment: Segment, flow: FlowId, now: float, exclude: str = "") -> Effects:
         services = self.book.list_services(flow)
         if not services:
             if self.book.rules.version == 0:
--- a/packages/fescueseam/src/fescueseam/steering/flows.py
+++ b/packages/fescueseam/src/fescueseam/steering/flows.py
@@ -88,7 +88,9 @@
             self.busy += 1
         entry.request_at = now
 
-    def note_from_server(self, flow: FlowId, entry: Flow, segment: Segment, now: float) -> float | None:
+    def note_from_server(
+        self, flow: FlowId, entry: Flow, segment: Segment, now: float
+    ) -> float | None:
         """Account for the backend server's packet; return a request's service time, if it ends."""
         entry.used_at = now
         entry.answered = True
--- a/packages/fescueseam/src/fescueseam/steering/notices.py
+++ b/packages/fescueseam/src/fescueseam/steering/notices.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from fescueseam.steering.members import Identity, Load
-from fescueseam.steering.rules import Outage
+from fescueseam.steering.rules import NO_OUTAGE, Outage
 from fescueseam.steering.segments import FlowId
 
 
@@ -27,7 +27,7 @@
     identity: Identity
     load: Load
     rules_version: int = 0
-    outage: Outage = Outage()
+    outage: Outage = NO_OUTAGE
     cold_bounds: tuple[tuple[str, float], ...] = ()
     """List services with the openings a second that a cold backend server bears."""
     others: tuple[Identity, ...] = ()
--- a/packages/fescueseam/src/fescueseam/steering/rules.py
+++ b/packages/fescueseam/src/fescueseam/steering/rules.py
@@ -53,6 +53,9 @@
     data_centres: frozenset[str] = frozenset()
 
 
+NO_OUTAGE = Outage()
+
+
 @define
 class RuleBook:
     """Hold the newest configuration and outage; older ones are ignored."""
--- a/packages/fescueseam/src/fescueseam/steering/segments.py
+++ b/packages/fescueseam/src/fescueseam/steering/segments.py
@@ -22,11 +22,13 @@
     PROBE = 2
     """Deliver to learn whether the backend server holds the flow."""
     NO_ROOM = 3
-    """Return an opening packet that the agent does not admit."""
+    """Return an opening packet because every slot is busy."""
     NOT_HERE = 4
     """Return a packet whose flow is not held here."""
     WRONG_SERVICE = 5
     """Return a packet of another service's flow."""
+    NOT_ADMITTING = 6
+    """Return an opening packet that the agent would not admit with free slots either."""
 
 
 @frozen(slots=True)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_codec.py
@@ -0,0 +1,47 @@
+"""Notices between processes, and garbage in their place."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescueseam.exceptions import MessageError
+from fescueseam.steering.codec import decode_notice, encode_notice
+from fescueseam.steering.members import Availability, Identity, Load, Role
+from fescueseam.steering.notices import Holding, Locate, Located, Notice, Report
+from fescueseam.steering.rules import Outage
+
+FLOW = (0x64400007, 40001, 0xC6120001, 443)
+IDENTITY = Identity("agent-1", Role.AGENT, 0x0A010010, "a", "alerts", 77)
+LOAD = Load(Availability.READY, 2, 30, 5, 0.5, 0.25, True, False)
+REPORT = Report(
+    IDENTITY, LOAD, 9, Outage(12, frozenset({"a", "b"})), (("alerts", 4.0),), (IDENTITY,), True
+)
+NOTICES = [
+    Notice("agent-1", 77, 3, body)
+    for body in (REPORT, Locate(FLOW, "alerts"), Located(FLOW, Holding.HALF_OPEN))
+]
+
+
+@pytest.mark.parametrize("notice", NOTICES)
+def test_a_notice_is_read_as_it_was_written(notice: Notice) -> None:
+    assert decode_notice(encode_notice(notice)) == notice
+
+
+@given(st.binary(max_size=400))
+def test_garbage_is_an_error_of_its_own(data: bytes) -> None:
+    try:
+        decode_notice(data)
+    except MessageError:
+        return
+
+
+@given(st.sampled_from(NOTICES), st.integers(0, 200), st.integers(0, 255))
+def test_a_damaged_notice_is_read_or_an_error_of_its_own(
+    notice: Notice, place: int, value: int
+) -> None:
+    data = bytearray(encode_notice(notice))
+    data[place % len(data)] = value
+    try:
+        decode_notice(bytes(data))
+    except MessageError:
+        return
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_flows_survive.py
@@ -0,0 +1,146 @@
+"""Open flows under restarts and changes of balancers, agents and backend servers."""
+
+import pytest
+
+from fescueseam.steering.members import GONE_AFTER_S
+from fescueseam.steering.tests.conftest import (
+    INTAKE,
+    FakeBackend,
+    Mesh,
+    build_opening,
+    build_segment,
+    flow_number,
+)
+
+MISROUTED_LIMIT = 3
+"""Fewer packets of a flow than this may reach other backend servers."""
+FLOWS = 30
+
+
+@pytest.fixture
+def opened(mesh: Mesh) -> Mesh:
+    """Return a mesh with open flows that came through the first balancer."""
+    for number in range(FLOWS):
+        mesh.open(flow_number(number), balancer=1)
+    assert all(mesh.find_home(flow_number(number)) for number in range(FLOWS))
+    mesh.run(0.3)
+    mesh.answers.clear()
+    return mesh
+
+
+def assert_all_answered(mesh: Mesh, balancer: int) -> None:
+    homes = {number: mesh.find_home(flow_number(number)) for number in range(FLOWS)}
+    for number in range(FLOWS):
+        mesh.request(flow_number(number), balancer)
+        mesh.run(0.05)
+    mesh.run(1.0)
+    assert mesh.resets == []
+    for number, home in homes.items():
+        flow = flow_number(number)
+        assert mesh.answers[flow] > 0
+        assert mesh.find_home(flow) == home
+        for backend in mesh.backends.values():
+            assert backend.strangers[flow] < MISROUTED_LIMIT
+
+
+def test_requests_are_served_where_their_flow_opened(opened: Mesh) -> None:
+    assert_all_answered(opened, balancer=1)
+    assert sum(sum(item.strangers.values()) for item in opened.backends.values()) == 0
+
+
+def test_another_balancer_finds_homes_without_touching_other_servers(opened: Mesh) -> None:
+    assert_all_answered(opened, balancer=2)
+    assert sum(sum(item.strangers.values()) for item in opened.backends.values()) == 0
+
+
+def test_new_balancers_find_homes(opened: Mesh) -> None:
+    for address in (1, 2):
+        opened.add_balancer(address)
+    opened.run(0.3)
+    assert_all_answered(opened, balancer=2)
+
+
+def test_an_agent_that_started_anew_keeps_its_servers_flows(opened: Mesh) -> None:
+    for address in (11, 12, 13):
+        opened.add_agent(address, sequence=9)
+    opened.run(0.3)
+    assert_all_answered(opened, balancer=1)
+
+
+def test_every_process_started_anew_beside_living_servers(opened: Mesh) -> None:
+    for address in (1, 2):
+        opened.add_balancer(address)
+    for address in (11, 12, 13):
+        opened.add_agent(address, sequence=9)
+    opened.run(0.3)
+    assert_all_answered(opened, balancer=2)
+
+
+def test_a_server_that_started_anew_resets_its_flows_at_once(opened: Mesh) -> None:
+    flow = flow_number(0)
+    home = opened.find_home(flow)
+    assert home is not None
+    opened.backends[home] = FakeBackend("anew")
+    opened.beat(home, 1, name="anew", started_ms=9)
+    opened.request(flow, balancer=1)
+    opened.run(0.05)
+    assert opened.resets == [flow]
+
+
+def test_a_flow_that_no_agent_holds_is_reset(mesh: Mesh) -> None:
+    mesh.request(flow_number(0), balancer=1)
+    mesh.run(0.1)
+    assert mesh.resets == [flow_number(0)]
+
+
+def test_a_flow_is_not_reset_while_an_agent_is_silent(mesh: Mesh) -> None:
+    mesh.cut.add(13)
+    mesh.request(flow_number(0), balancer=1)
+    mesh.run(1.0)
+    assert mesh.resets == []
+    mesh.run(GONE_AFTER_S)
+    mesh.request(flow_number(0), balancer=1)
+    mesh.run(1.0)
+    assert mesh.resets == [flow_number(0)]
+
+
+def test_a_late_copy_of_an_opening_packet_finds_the_open_flow(opened: Mesh) -> None:
+    flow = flow_number(3)
+    home = opened.find_home(flow)
+    opened.send(build_opening(flow, attempt=1), 2)
+    opened.run(0.1)
+    holders = [address for address, item in opened.backends.items() if flow in item.flows]
+    assert holders == [home]
+    assert opened.resets == []
+
+
+def test_a_copy_of_an_opening_packet_that_was_lost_opens_the_flow(mesh: Mesh) -> None:
+    flow = flow_number(3)
+    mesh.send(build_opening(flow, attempt=1), 2)
+    mesh.run(0.05)
+    mesh.send(build_segment(flow), 2)
+    mesh.run(0.05)
+    assert mesh.find_home(flow) is not None
+
+
+def test_an_address_reused_by_another_service_gets_no_packet(opened: Mesh) -> None:
+    flow = flow_number(0)
+    home = opened.find_home(flow)
+    assert home is not None
+    stranger = FakeBackend("stranger")
+    opened.nodes.pop(home)
+    opened.add_agent(home, stranger, service=INTAKE)
+    opened.request(flow, balancer=1)
+    opened.run(0.3)
+    assert stranger.strangers[flow] == 0
+    assert stranger.openings == []
+
+
+def test_packets_that_came_during_a_search_arrive_in_order(opened: Mesh) -> None:
+    flow = flow_number(1)
+    for part in range(5):
+        opened.request(flow, balancer=2, sequence=1000 + 100 * part)
+    opened.run(0.5)
+    home = opened.find_home(flow)
+    assert home is not None
+    assert opened.backends[home].served == 5
