--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DEPLOYMENT ?= ribera-norte
 PACKAGES := packages/fescueseam packages/fescueseam-daemon packages/fescueseam-cli packages/fescueseam-standins
-SOURCES := $(wildcard packages/*/src)
+SOURCES := $(wildcard packages/*/src) platform
 
 .PHONY: install format lint types test demo measure capacity soak clean
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,6 +13,7 @@
         name=$(basename "$package")
         rm -rf "${deps:?}/$name"
         cp -r "$package" "$deps/$name"
+        find "$deps/$name" -type d -name tests -prune -exec rm -rf {} +
     done
 done
 python3 -m compileall -q "$deps"
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/events.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/events.py
@@ -159,7 +159,7 @@
                 return families
 
         registry = CollectorRegistry()
-        registry.register(_Collector())  # type: ignore[arg-type]
+        registry.register(_Collector())
         return generate_latest(registry)
 
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/ports.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/ports.py
@@ -65,7 +65,9 @@
 class Surroundings(Protocol):
     """Provide the formats and calls of one platform."""
 
-    packets: PacketFormat
+    @property
+    def packets(self) -> PacketFormat:
+        """Return the format of callers' packets."""
 
     def open_store(self, address: str, port: int) -> ControlStore:
         """Return a client of the store; nothing is sent yet."""
--- a/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
@@ -25,6 +25,13 @@
 ALERTS, INTAKE = "alerts", "intake"
 
 
+RULES = Rules(
+    1,
+    (Route("alerts", SERVICE_ADDRESS, SERVICE_PORT, (Share(ALERTS),)),),
+    (ServiceRules(ALERTS, 4.0), ServiceRules(INTAKE)),
+)
+
+
 def build_segment(flow: FlowId, **changes: object) -> Segment:
     """Return a caller's packet without data."""
     blank = Segment(*flow, False, True, False, False, False, 0, 1000, 0, 0, NO_MARK, b"")
@@ -74,11 +81,7 @@
     notes: list[Note] = field(factory=list)
     cut: set[int] = field(factory=set)
     """Name the addresses that neither send nor get anything."""
-    rules: Rules = Rules(
-        1,
-        (Route("alerts", SERVICE_ADDRESS, SERVICE_PORT, (Share(ALERTS),)),),
-        (ServiceRules(ALERTS, 4.0), ServiceRules(INTAKE)),
-    )
+    rules: Rules = RULES
     _count: int = 0
     _sequence: int = 0
 
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_openings.py
@@ -71,7 +71,7 @@
         mesh.nodes[address].rules_version = 0
         mesh.beat(address, 50, cold_left_s=5.0)
     mesh.nodes.pop(2)
-    for number in range(20):
+    for _ in range(20):
         effects = mesh.nodes[11]._find_objection(0, mesh.now)
         if not effects:
             mesh.nodes[11].backend.warmth.note_opening(mesh.now)
