Keep openings for agents that are about to be ready, and forget retired agents

Ruled out: refusals (2 requests) and processor time. An agent now removes its entry when its backend server has ended; a listed member that was never heard counts as gone after 2 s; openings wait at the balancer and go to agents that have not heard a heartbeat yet, within the cold bound.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -3,10 +3,10 @@
 import trio
 from attrs import define, field
 
-from fescueseam.exceptions import MessageError
+from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.steering.agent import Agent
 from fescueseam.steering.backend import Backend, Verdict
-from fescueseam.steering.members import REPORT_INTERVAL_S
+from fescueseam.steering.members import REPORT_INTERVAL_S, Availability
 from fescueseam.steering.notices import Locate, Report
 from fescueseam.steering.segments import format_address
 from fescueseam_daemon.steering.node import IDLE_TICK_S, TICK_S, Node
@@ -16,6 +16,8 @@
 LEAVE_S = 0.15
 """Let requests at work be answered for this long before the end, in seconds; the backend server
 sends the rest again to the next agent."""
+WITHDRAW_S = 0.5
+"""Wait this long for the store to remove the entry at the end, in seconds."""
 REJOIN_S = 2.0
 """Read the list of members again if no balancer was heard for this long, in seconds."""
 
@@ -55,6 +57,17 @@
         with trio.move_on_after(LEAVE_S):
             while self.core.flows.busy:
                 await trio.sleep(TICK_S)
+        if self.core.backend.availability is Availability.LEFT:
+            await self._withdraw()
+
+    async def _withdraw(self) -> None:
+        # Its backend server has ended, so nobody should look for flows here any more.
+        with trio.move_on_after(WITHDRAW_S):
+            try:
+                await self.node.store.withdraw(self.node.own.name)
+                self.node.note("member-withdrawn")
+            except StoreError as exc:
+                self.node.store_link.note_failed(exc, trio.current_time())
 
     def _take_packet(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -125,7 +125,7 @@
 
     def _do(self, effects: list) -> None:  # type: ignore[type-arg]
         self.node.carry_out(effects)
-        if (self.core.offers or self.core.searches) and not self._pending.is_set():
+        if self.core.is_waiting() and not self._pending.is_set():
             self._pending.set()
 
     async def _join(self) -> None:
@@ -221,7 +221,7 @@
     async def _tick(self) -> None:
         while True:
             await self._pending.wait()
-            while self.core.offers or self.core.searches:
+            while self.core.is_waiting():
                 await trio.sleep(TICK_S)
                 self.node.carry_out(self.core.tick(trio.current_time()))
             self._pending = trio.Event()
--- a/packages/fescueseam/src/fescueseam/steering/agent.py
+++ b/packages/fescueseam/src/fescueseam/steering/agent.py
@@ -254,20 +254,20 @@
 
     def _find_objection(self, purpose: Purpose, now: float) -> str:
         availability = self.backend.find_availability(now)
-        current = self.backend.current
-        if availability is not Availability.READY or current is None:
+        if availability not in (Availability.READY, Availability.UNKNOWN):
             return f"backend-{availability.value}"
         if self.leaving:
             return "agent-leaving"
         if self.fleet.own.data_centre in self.outage.data_centres:
             return "data-centre-out"
+        current = self.backend.current
+        known = self.rules_version > 0 and current is not None
         bound = self.cold_bounds.get(self.backend.service, 0.0)
-        if self.rules_version == 0:
-            bound = UNKNOWN_BOUND_PER_S
-        if not self.backend.warmth.has_room(bound, now):
+        if not self.backend.warmth.has_room(bound if known else UNKNOWN_BOUND_PER_S, now, known):
             return "cold"
+        slots = current.slots if current is not None else 1
         busy = self.flows.busy + self.flows.count_handshakes(now)
-        limit = current.slots * (INSIST_FACTOR if purpose is Purpose.INSIST else 1)
+        limit = slots * (INSIST_FACTOR if purpose is Purpose.INSIST else 1)
         return BUSY if busy >= limit else ""
 
     def _find_holding(self, body: Locate) -> Holding:
--- a/packages/fescueseam/src/fescueseam/steering/backend.py
+++ b/packages/fescueseam/src/fescueseam/steering/backend.py
@@ -49,7 +49,7 @@
     heartbeat_interval_s: float
     current: Heartbeat | None = None
     heard_at: float = 0.0
-    availability: Availability = Availability.ABSENT
+    availability: Availability = Availability.UNKNOWN
     knows_flows: bool = False
     """Tell that every flow of this start went through this agent's memory."""
     unanswered: int = 0
@@ -97,6 +97,8 @@
 
     def find_availability(self, now: float) -> Availability:
         """Return whether the backend server may get new flows now."""
+        if self.availability is Availability.UNKNOWN and self.unanswered >= UNANSWERED_LIMIT:
+            return Availability.ABSENT
         if self.availability is not Availability.READY:
             return self.availability
         silent = now - self.heard_at > MISSED_HEARTBEATS * self.heartbeat_interval_s
--- a/packages/fescueseam/src/fescueseam/steering/balancer.py
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -6,7 +6,7 @@
 
 from fescueseam.steering.choice import choose_agent
 from fescueseam.steering.effects import Effects, Hand, Note, Reset, Tell
-from fescueseam.steering.members import Fleet, Member, compute_tag
+from fescueseam.steering.members import Availability, Fleet, Member, compute_tag
 from fescueseam.steering.notices import Holding, Locate, Located
 from fescueseam.steering.rules import RuleBook
 from fescueseam.steering.searches import (
@@ -28,6 +28,13 @@
 SETTLE_S = 2.0
 """Refuse nothing for want of agents this soon after the start, in seconds; they announce
 themselves within a few report intervals."""
+PARK_S = 1.2
+"""Keep an opening packet for an agent that is about to be ready this long, in seconds; callers
+give up after 1.4 s."""
+PARK_RETRY_S = 0.04
+"""Try to place a parked opening packet this often, in seconds."""
+PARKED_LIMIT = 2048
+"""Bound the parked opening packets; callers send those beyond it again."""
 
 
 @define
@@ -52,6 +59,8 @@
     closed: set[str] = field(factory=set)
     """Name those that would not take it with free slots either."""
     insists: bool = False
+    parked_at: float | None = None
+    """Hold when it began to wait for an agent that is about to be ready."""
     delivered: bool = False
     """Tell that the agent has delivered the packet to its backend server."""
 
@@ -68,6 +77,11 @@
     homes: OrderedDict[FlowId, Home] = field(factory=OrderedDict)
     offers: dict[FlowId, Offer] = field(factory=dict)
     searches: dict[FlowId, Search] = field(factory=dict)
+    parked: dict[FlowId, Offer] = field(factory=dict)
+
+    def is_waiting(self) -> bool:
+        """Tell whether anything is due soon."""
+        return bool(self.offers or self.searches or self.parked)
 
     def handle_packet(self, segment: Segment, now: float) -> Effects:
         """Return what to do with a packet from a caller."""
@@ -77,7 +91,8 @@
             search.keep(segment)
             return []
         if segment.opens:
-            return self._open(segment, flow, now)
+            # Parked packets go on by themselves; copies say nothing new.
+            return [] if flow in self.parked else self._open(segment, flow, now)
         self.offers.pop(flow, None)
         home = self.homes.get(flow)
         if home is None:
@@ -146,6 +161,13 @@
         for search in list(self.searches.values()):
             if now >= search.next_ask:
                 effects += self._ask_again(search, now)
+        for flow, offer in list(self.parked.items()):
+            if now - offer.sent_at >= PARK_RETRY_S:
+                del self.parked[flow]
+                offer.tried.clear()
+                offer.closed.clear()
+                offer.insists = False
+                effects += self._make_offer(offer, flow, now)
         return effects
 
     def forget_idle(self, now: float, idle_s: float) -> None:
@@ -179,8 +201,7 @@
             member = choose_agent(self.fleet, self.book, offer.service, offer.closed, now)
         if member is None:
             self.homes.pop(flow, None)
-            reason = "no-room" if offer.tried else "no-agent"
-            return self._refuse(offer.segment, flow, reason, now, offer.service)
+            return self._park(offer, flow, now)
         fields = {
             "flow": format_flow(flow),
             "service": offer.service,
@@ -202,6 +223,33 @@
         hand = self._hand(offer.segment, member, offer.service, purpose)
         return [Note("flow-offered", fields), hand]
 
+    def _park(self, offer: Offer, flow: FlowId, now: float) -> Effects:
+        reason = "no-room" if offer.tried else "no-agent"
+        states = {
+            member.load.availability
+            for member in self.fleet.list_agents((offer.service,))
+            if not self.fleet.is_gone(member, now)
+        }
+        awaited = (
+            now - self.started < SETTLE_S
+            or Availability.UNKNOWN in states
+            or (Availability.ABSENT in states and Availability.READY not in states)
+        )
+        first = offer.parked_at is None
+        if offer.parked_at is None:
+            offer.parked_at = now
+        if not awaited or len(self.parked) >= PARKED_LIMIT:
+            return self._refuse(offer.segment, flow, reason, now, offer.service)
+        if now - offer.parked_at >= PARK_S:
+            fields = {"flow": format_flow(flow), "service": offer.service, "reason": "waited"}
+            return [Note("opening-dropped", fields)]
+        offer.sent_at = now
+        self.parked[flow] = offer
+        if not first:
+            return []
+        fields = {"flow": format_flow(flow), "service": offer.service, "reason": reason}
+        return [Note("opening-parked", fields)]
+
     def _offer_elsewhere(
         self, segment: Segment, flow: FlowId, name: str, closed: bool, now: float
     ) -> Effects:
--- a/packages/fescueseam/src/fescueseam/steering/choice.py
+++ b/packages/fescueseam/src/fescueseam/steering/choice.py
@@ -20,7 +20,7 @@
 def is_open_to_flows(member: Member, book: RuleBook, now: float) -> bool:
     """Tell whether a member may be offered new flows."""
     return (
-        member.load.availability is Availability.READY
+        member.load.availability in (Availability.READY, Availability.UNKNOWN)
         and not member.load.leaving
         and now - member.heard_at < QUIET_AFTER_S
         and (member.unanswered_at is None or now - member.unanswered_at > UNANSWERED_REST_S)
@@ -52,10 +52,11 @@
         for member in fleet.list_agents((service,))
         if member.identity.name not in tried and is_open_to_flows(member, book, now)
     ]
-    rested = [member for member in candidates if member.avoid_until <= now]
     if not candidates:
         return None
+    ready = [item for item in candidates if item.load.availability is Availability.READY]
+    rested = [item for item in ready if item.avoid_until <= now]
     return min(
-        rested or candidates,
+        rested or ready or candidates,
         key=lambda member: (estimate_delay(member, fleet.own.data_centre), member.identity.name),
     )
--- a/packages/fescueseam/src/fescueseam/steering/members.py
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -2,10 +2,11 @@
 
 import functools
 import hashlib
+import math
 from collections.abc import Iterable
 from enum import StrEnum
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 REPORT_INTERVAL_S = 0.25
 """Agents report this often, in seconds; a balancer's view of load is at most this old."""
@@ -13,6 +14,9 @@
 """Give no new flow to an agent unheard for three reports, in seconds."""
 GONE_AFTER_S = 4.0
 """Take a member unheard for this long for gone, in seconds: a restart takes less."""
+UNHEARD_AFTER_S = 2.0
+"""Take a listed member that was never heard for gone after this long, in seconds: a process is
+back within about a second, and entries outlive members that were lost."""
 FORGET_AFTER_S = 60.0
 """Forget a member unheard for a flow's longest life, in seconds."""
 
@@ -28,7 +32,9 @@
     """Tell whether a backend server may get new flows."""
 
     ABSENT = "absent"
-    """No backend server has announced itself to the agent, or it stopped answering."""
+    """The backend server stopped answering."""
+    UNKNOWN = "unknown"
+    """The agent has started and not heard of its backend server yet."""
     READY = "ready"
     DRAINING = "draining"
     LEFT = "left"
@@ -69,8 +75,10 @@
     """Hold the newest that was heard of one process."""
 
     identity: Identity
-    heard_at: float
-    """Hold when it was last heard, by this process's steady clock; long ago if only listed."""
+    listed_at: float
+    """Hold when it was first named here, by this process's steady clock."""
+    heard_at: float = -math.inf
+    """Hold when it was last heard, by this process's steady clock."""
     load: Load = field(factory=Load)
     sequence: int = 0
     sent_since: int = 0
@@ -170,11 +178,17 @@
 
     def is_gone(self, member: Member, now: float) -> bool:
         """Tell whether a member has been unheard for too long to hold flows."""
+        if member.heard_at == -math.inf:
+            return now - member.listed_at >= UNHEARD_AFTER_S
         return now - member.heard_at >= GONE_AFTER_S
 
     def forget_lost(self, now: float) -> list[Identity]:
         """Forget the members unheard for very long; return them."""
-        lost = [item for item in self.members.values() if now - item.heard_at >= FORGET_AFTER_S]
+        lost = [
+            item
+            for item in self.members.values()
+            if now - max(item.heard_at, item.listed_at) >= FORGET_AFTER_S
+        ]
         for member in lost:
             del self.members[member.identity.name]
         return [member.identity for member in lost]
@@ -184,7 +198,7 @@
         for name, member in list(self.members.items()):
             if member.identity.address == identity.address:
                 del self.members[name]
-        member = self.members[identity.name] = Member(identity, heard_at=now)
+        member = self.members[identity.name] = Member(identity, now)
         return member
 
 
@@ -192,8 +206,3 @@
 def compute_tag(service: str) -> int:
     """Return the 16 bits that stand for a service beside a packet."""
     return int.from_bytes(hashlib.blake2b(service.encode(), digest_size=2).digest())
-
-
-def with_incarnation(identity: Identity, incarnation: int) -> Identity:
-    """Return an identity of a later start."""
-    return evolve(identity, incarnation=incarnation)
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
@@ -0,0 +1,106 @@
+"""Load pattern: every machine loses power at once and callers press on while it comes back."""
+
+from fescueseam.steering.balancer import PARK_S
+from fescueseam.steering.members import UNHEARD_AFTER_S, Identity, Role
+from fescueseam.steering.tests.conftest import (
+    ALERTS,
+    FakeBackend,
+    Mesh,
+    build_opening,
+    flow_number,
+)
+
+
+def count_all_openings(mesh: Mesh) -> int:
+    return sum(len(backend.openings) for backend in mesh.backends.values())
+
+
+def test_openings_wait_for_the_first_agent_that_is_ready() -> None:
+    mesh = Mesh()
+    mesh.add_balancer(1)
+    for number in range(6):
+        mesh.send(build_opening(flow_number(number)), 1)
+    mesh.run(0.5)
+    assert mesh.resets == []
+    for address in (11, 12, 13):
+        mesh.add_agent(address)
+    mesh.run(0.4)
+    assert count_all_openings(mesh) == 6
+    assert mesh.resets == []
+
+
+def test_an_opening_is_given_up_before_its_caller_does() -> None:
+    mesh = Mesh()
+    mesh.add_balancer(1)
+    mesh.send(build_opening(flow_number(0)), 1)
+    mesh.run(PARK_S + 0.1)
+    assert mesh.nodes[1].parked == {}
+    mesh.add_agent(11)
+    mesh.run(0.5)
+    assert count_all_openings(mesh) == 0
+
+
+def test_a_server_that_has_not_reported_gets_few_openings() -> None:
+    mesh = Mesh()
+    mesh.add_balancer(1)
+    agent = mesh.add_agent(11, sequence=1)
+    mesh.run(0.3)
+    agent.backend.current = None
+    agent.backend.availability = type(agent.backend.availability).UNKNOWN
+    mesh.run(0.3)
+    for number in range(10):
+        mesh.send(build_opening(flow_number(number)), 1)
+    mesh.run(0.2)
+    assert 1 <= count_all_openings(mesh) <= 2
+
+
+def test_entries_of_lost_agents_do_not_keep_dead_flows_waiting(mesh: Mesh) -> None:
+    lost = Identity("lost", Role.AGENT, 99, "a", ALERTS)
+    balancer = mesh.add_balancer(1)
+    balancer.fleet.note_listed(lost, mesh.now)
+    mesh.run(0.5)
+    mesh.request(flow_number(0), 1)
+    mesh.run(0.5)
+    assert mesh.resets == []
+    mesh.run(UNHEARD_AFTER_S)
+    mesh.request(flow_number(0), 1)
+    mesh.run(0.1)
+    assert mesh.resets == [flow_number(0)]
+
+
+def test_flows_of_servers_that_lost_power_are_reset(mesh: Mesh) -> None:
+    flows = [flow_number(number) for number in range(10)]
+    for flow in flows:
+        mesh.open(flow, 1)
+    for address in (1, 2):
+        mesh.add_balancer(address)
+    for address in (11, 12, 13):
+        mesh.backends[address] = FakeBackend(f"anew-{address}")
+        mesh.add_agent(address, sequence=6)
+    mesh.run(0.3)
+    for flow in flows:
+        mesh.request(flow, 2)
+    mesh.run(0.5)
+    assert sorted(mesh.resets) == flows
+
+
+def test_a_crashed_server_keeps_no_opening_waiting_while_others_are_full(mesh: Mesh) -> None:
+    mesh.nodes[11].backend.unanswered = 9
+    for address in (12, 13):
+        mesh.nodes[address].flows.busy = 100
+    mesh.run(0.3)
+    mesh.send(build_opening(flow_number(0)), 1)
+    mesh.run(0.05)
+    assert mesh.resets == [flow_number(0)]
+
+
+def test_openings_wait_while_every_server_of_the_service_is_crashed(mesh: Mesh) -> None:
+    for address in (11, 12, 13):
+        mesh.nodes[address].backend.unanswered = 9
+    mesh.run(0.3)
+    mesh.send(build_opening(flow_number(0)), 1)
+    mesh.run(0.3)
+    assert mesh.resets == []
+    mesh.beat(12, 60)
+    mesh.run(0.1)
+    assert count_all_openings(mesh) == 1
--- a/packages/fescueseam/src/fescueseam/steering/warmth.py
+++ b/packages/fescueseam/src/fescueseam/steering/warmth.py
@@ -7,7 +7,7 @@
 WINDOW_S = 1.0
 """Count openings over sliding spans of this length, in seconds, as the bound is stated."""
 UNKNOWN_BOUND_PER_S = 2.0
-"""Bound the openings of a cold backend server before its service's rules are known."""
+"""Bound the openings while the service's rules or the backend server's state are not known."""
 MARGIN_S = 0.3
 """Take a backend server for cold this much longer than it says, in seconds: it is told its own
 time and the report is late."""
@@ -28,9 +28,12 @@
         """Tell whether the bound holds."""
         return now < self.cold_until
 
-    def has_room(self, bound_per_s: float, now: float) -> bool:
-        """Tell whether one more opening keeps to the bound."""
-        if not self.is_cold(now) or bound_per_s <= 0:
+    def has_room(self, bound_per_s: float, now: float, known: bool = True) -> bool:
+        """Tell whether one more opening keeps to the bound.
+
+        A backend server that is not known to be warm is taken for cold.
+        """
+        if (known and not self.is_cold(now)) or bound_per_s <= 0:
             return True
         self._expire(now)
         return len(self._openings) < max(1, int(bound_per_s))
