Try a few parked openings at a time, and ask nobody for a caller's reset

Ruled out: starting time of the processes, which did not change. An agent that turned down what would wait gets nothing for 150 ms, four parked openings try at a time, and an agent without a heartbeat for two intervals says that it holds nothing.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -32,8 +32,9 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.node.settings
-        backend = Backend(settings.service, settings.heartbeat_interval_s)
-        self.core = Agent(self.node.fleet, backend, trio.current_time())
+        now = trio.current_time()
+        backend = Backend(settings.service, settings.heartbeat_interval_s, now)
+        self.core = Agent(self.node.fleet, backend, now)
 
     async def run(self) -> None:
         """Run until cancelled."""
--- a/packages/fescueseam/src/fescueseam/steering/agent.py
+++ b/packages/fescueseam/src/fescueseam/steering/agent.py
@@ -112,7 +112,7 @@
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
         """Answer whether the backend server holds a flow."""
-        return [Tell(origin, Located(body.flow, self._find_holding(body)))]
+        return [Tell(origin, Located(body.flow, self._find_holding(body, now)))]
 
     def handle_heartbeat(self, beat: Heartbeat, now: float) -> tuple[Verdict, Effects]:
         """Take a heartbeat; return what became of it and what follows."""
@@ -270,12 +270,13 @@
         limit = slots * (INSIST_FACTOR if purpose is Purpose.INSIST else 1)
         return BUSY if busy >= limit else ""
 
-    def _find_holding(self, body: Locate) -> Holding:
+    def _find_holding(self, body: Locate, now: float) -> Holding:
         entry = self.flows.find(body.flow)
         if body.service != self.backend.service:
             return Holding.NO
         if entry is None or entry.probe_origin:
-            return Holding.NO if self.backend.knows_flows else Holding.UNSURE
+            sure = self.backend.knows_flows or self.backend.is_missing(now)
+            return Holding.NO if sure else Holding.UNSURE
         if entry.is_open:
             return Holding.YES
         return Holding.HALF_OPEN if entry.answered else Holding.NO
--- a/packages/fescueseam/src/fescueseam/steering/backend.py
+++ b/packages/fescueseam/src/fescueseam/steering/backend.py
@@ -11,6 +11,8 @@
 """Remember this many earlier starts, so that their late heartbeats are told from news."""
 MISSED_HEARTBEATS = 3.5
 """Take the backend server for absent after this many heartbeat intervals without one."""
+AWAITED_HEARTBEATS = 2.0
+"""Wait this many heartbeat intervals for the first heartbeat; a living server sends one in each."""
 UNANSWERED_LIMIT = 2
 """Take the backend server for absent after this many opening packets without an answer."""
 
@@ -47,6 +49,8 @@
 
     service: str
     heartbeat_interval_s: float
+    awaited_since: float
+    """Hold when this process began to listen for heartbeats."""
     current: Heartbeat | None = None
     heard_at: float = 0.0
     availability: Availability = Availability.UNKNOWN
@@ -79,6 +83,11 @@
         self.knows_flows = known is not None or beat.sequence <= 1
         return self._take(beat, Verdict.STARTED, now)
 
+    def is_missing(self, now: float) -> bool:
+        """Tell whether nobody has announced itself for so long that nobody is there."""
+        waited_s = now - self.awaited_since
+        return self.current is None and waited_s > AWAITED_HEARTBEATS * self.heartbeat_interval_s
+
     def note_left(self, name: str, now: float) -> bool:
         """Take the farewell of a backend server; return whether it is the current one."""
         if self.current is None or self.current.name != name:
@@ -97,12 +106,13 @@
 
     def find_availability(self, now: float) -> Availability:
         """Return whether the backend server may get new flows now."""
-        if self.availability is Availability.UNKNOWN and self.unanswered >= UNANSWERED_LIMIT:
+        unanswered = self.unanswered >= UNANSWERED_LIMIT
+        if self.availability is Availability.UNKNOWN and (unanswered or self.is_missing(now)):
             return Availability.ABSENT
         if self.availability is not Availability.READY:
             return self.availability
         silent = now - self.heard_at > MISSED_HEARTBEATS * self.heartbeat_interval_s
-        if silent or self.unanswered >= UNANSWERED_LIMIT:
+        if silent or unanswered:
             return Availability.ABSENT
         return Availability.READY
 
--- a/packages/fescueseam/src/fescueseam/steering/balancer.py
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -25,6 +25,11 @@
 """Bound the homes that are remembered; one that gave way is found again by asking."""
 TRIES_LIMIT = 8
 """Offer an opening packet to this many agents before it is refused."""
+BUSY_REST_S = 0.06
+"""Prefer others for this long after an agent had no free slot, in seconds: about a service time."""
+CLOSED_REST_S = 0.15
+"""Offer an agent nothing for this long after it turned down even what would wait, in seconds; its
+next report says more."""
 SETTLE_S = 2.0
 """Refuse nothing for want of agents this soon after the start, in seconds; they announce
 themselves within a few report intervals."""
@@ -33,6 +38,9 @@
 give up after 1.4 s."""
 PARK_RETRY_S = 0.04
 """Try to place a parked opening packet this often, in seconds."""
+PARKED_PER_TICK = 4
+"""Try this many parked opening packets at once; with a tick of 20 ms that is more than a balancer's
+share of the new flows."""
 PARKED_LIMIT = 2048
 """Bound the parked opening packets; callers send those beyond it again."""
 
@@ -95,6 +103,9 @@
             return [] if flow in self.parked else self._open(segment, flow, now)
         self.offers.pop(flow, None)
         home = self.homes.get(flow)
+        if home is None and segment.resets:
+            # The caller has given the flow up, and backend servers answer no reset.
+            return []
         if home is None:
             return self._search(segment, flow, now)
         member = self.fleet.find(home.agent)
@@ -161,7 +172,8 @@
         for search in list(self.searches.values()):
             if now >= search.next_ask:
                 effects += self._ask_again(search, now)
-        for flow, offer in list(self.parked.items()):
+        # A few at a time, the oldest first: what becomes of them tells whether there is room.
+        for flow, offer in list(self.parked.items())[:PARKED_PER_TICK]:
             if now - offer.sent_at >= PARK_RETRY_S:
                 del self.parked[flow]
                 offer.tried.clear()
@@ -245,6 +257,7 @@
             return [Note("opening-dropped", fields)]
         offer.sent_at = now
         self.parked[flow] = offer
+        self.parked = dict(sorted(self.parked.items(), key=lambda item: item[1].parked_at or now))
         if not first:
             return []
         fields = {"flow": format_flow(flow), "service": offer.service, "reason": reason}
@@ -258,9 +271,12 @@
             return []
         del self.offers[flow]
         member = self.fleet.find(name)
+        closed = closed or offer.insists
         if member is not None:
-            member.avoid_until = now + OFFER_TIMEOUT_S
-        if closed or offer.insists:
+            member.busy_until = now + BUSY_REST_S
+        if member is not None and closed:
+            member.closed_until = now + CLOSED_REST_S
+        if closed:
             offer.closed.add(name)
         return self._make_offer(offer, flow, now)
 
@@ -377,6 +393,7 @@
             "flow": format_flow(search.flow),
             "silent": silent,
             "asked": len(search.asked),
+            "packet": segment.describe(),
             "took_ms": round((now - search.started) * 1000),
         }
         if silent or not self.knows_all or not search.asked:
--- a/packages/fescueseam/src/fescueseam/steering/choice.py
+++ b/packages/fescueseam/src/fescueseam/steering/choice.py
@@ -22,6 +22,7 @@
     return (
         member.load.availability in (Availability.READY, Availability.UNKNOWN)
         and not member.load.leaving
+        and member.closed_until <= now
         and now - member.heard_at < QUIET_AFTER_S
         and (member.unanswered_at is None or now - member.unanswered_at > UNANSWERED_REST_S)
         and not book.is_out(member.identity.data_centre)
@@ -55,7 +56,7 @@
     if not candidates:
         return None
     ready = [item for item in candidates if item.load.availability is Availability.READY]
-    rested = [item for item in ready if item.avoid_until <= now]
+    rested = [item for item in ready if item.busy_until <= now]
     return min(
         rested or ready or candidates,
         key=lambda member: (estimate_delay(member, fleet.own.data_centre), member.identity.name),
--- a/packages/fescueseam/src/fescueseam/steering/members.py
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -85,8 +85,10 @@
     """Count the flows sent there since its last report."""
     unanswered_at: float | None = None
     """Hold when it left a packet unanswered, until it is heard again."""
-    avoid_until: float = 0.0
-    """Offer it no new flow before this time, because it has just turned one down."""
+    busy_until: float = 0.0
+    """Prefer others before this time, because every slot was busy a moment ago."""
+    closed_until: float = 0.0
+    """Offer it no new flow before this time, because it has just turned one down for good."""
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/steering/segments.py
+++ b/packages/fescueseam/src/fescueseam/steering/segments.py
@@ -71,6 +71,16 @@
         """Return the flow of a packet that a caller sent."""
         return (self.source, self.source_port, self.destination, self.destination_port)
 
+    def describe(self) -> str:
+        """Return the kind of the packet as logs name it."""
+        kinds = (
+            (self.opens, "opening"),
+            (self.resets, "reset"),
+            (self.finishes, "finish"),
+            (self.data_bytes > 0, "data"),
+        )
+        return next((name for holds, name in kinds if holds), "acknowledgement")
+
     def flow_to_caller(self) -> FlowId:
         """Return the flow of a packet that a backend server sent to a caller."""
         return (self.destination, self.destination_port, self.source, self.source_port)
--- a/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
@@ -113,7 +113,7 @@
         data_centre: str = "a",
     ) -> Agent:
         own = Identity(f"agent-{address}", Role.AGENT, address, data_centre, service, self._next())
-        core = Agent(Fleet(own), Backend(service, HEARTBEAT_S), self.now)
+        core = Agent(Fleet(own), Backend(service, HEARTBEAT_S, self.now), self.now)
         core.rules_version = self.rules.version
         core.cold_bounds = {item.name: item.cold_openings_per_s for item in self.rules.services}
         self.backends[address] = backend or self.backends.get(address) or FakeBackend(f"b{address}")
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_backend.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_backend.py
@@ -13,7 +13,7 @@
 @pytest.fixture
 def backend() -> Backend:
     """Return what is believed of a backend server after one heartbeat."""
-    built = Backend("alerts", 1.0)
+    built = Backend("alerts", 1.0, 10.0)
     assert built.note_heartbeat(BEAT, 10.0) is Verdict.STARTED
     return built
 
@@ -90,3 +90,11 @@
 def test_a_warm_server_has_no_bound() -> None:
     warmth = Warmth()
     assert all(warmth.has_room(1.0, 10.0) for _ in range(10))
+
+
+def test_nobody_is_there_after_two_intervals_without_a_heartbeat() -> None:
+    waiting = Backend("alerts", 1.0, 10.0)
+    assert waiting.find_availability(11.9) is Availability.UNKNOWN
+    assert not waiting.is_missing(11.9)
+    assert waiting.find_availability(12.1) is Availability.ABSENT
+    assert waiting.is_missing(12.1)
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
@@ -1,12 +1,13 @@
 """Load pattern: every machine loses power at once and callers press on while it comes back."""
 
-from fescueseam.steering.balancer import PARK_S
+from fescueseam.steering.balancer import CLOSED_REST_S, PARK_S, PARKED_PER_TICK
 from fescueseam.steering.members import UNHEARD_AFTER_S, Identity, Role
 from fescueseam.steering.tests.conftest import (
     ALERTS,
     FakeBackend,
     Mesh,
     build_opening,
+    build_segment,
     flow_number,
 )
 
@@ -104,3 +105,26 @@
     mesh.beat(12, 60)
     mesh.run(0.1)
     assert count_all_openings(mesh) == 1
+
+
+def test_waiting_openings_are_not_offered_over_and_over_to_full_agents(mesh: Mesh) -> None:
+    for address in (11, 12, 13):
+        mesh.nodes[address].flows.busy = 100
+    balancer = mesh.add_balancer(1)
+    mesh.run(0.3)
+    for number in range(50):
+        mesh.send(build_opening(flow_number(number)), 1)
+    mesh.run(0.1)
+    assert len(balancer.parked) > PARKED_PER_TICK
+    mesh.notes.clear()
+    mesh.run(1.0)
+    # Each of the few tries at each of three agents, at ease and insisting, once a rest.
+    tries = PARKED_PER_TICK * 3 * 2
+    assert mesh.count_notes("flow-offered") <= tries * (1.0 / CLOSED_REST_S + 1)
+
+
+def test_a_callers_reset_of_an_unknown_flow_asks_nobody(mesh: Mesh) -> None:
+    mesh.send(build_segment(flow_number(0), resets=True), 1)
+    mesh.run(0.05)
+    assert mesh.nodes[1].searches == {}
+    assert mesh.resets == []
