Go on looking for members after the start

Cause: all machines start within 0.3 s of each other. Ruled out: a lost report, since the log names no member at all. Balancers now read the list afresh once, greet whoever was not heard lately, and read a stale list every 3.2 s; a flow is reset for want of a home only once the store has listed agents and a peer or two seconds have passed.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -8,7 +8,6 @@
 from fescueseam.steering.backend import Backend, Verdict
 from fescueseam.steering.members import REPORT_INTERVAL_S, Availability
 from fescueseam.steering.notices import Locate, Report
-from fescueseam.steering.segments import format_address
 from fescueseam_daemon.steering.node import IDLE_TICK_S, TICK_S, Node
 from fescueseam_daemon.steering.ports import Farewell
 from fescueseam_daemon.steering.web import Request, Response
@@ -127,22 +126,26 @@
 
     async def _join(self) -> None:
         node = self.node
-        node.greet(self.core.build_report(trio.current_time(), asks_back=True), ())
+        node.greet(self._build_greeting())
         await node.register()
+        stale = False
         while True:
             now = trio.current_time()
             heard = [
                 member for member in node.fleet.list_balancers() if now - member.heard_at < REJOIN_S
             ]
             if not heard:
-                members = await node.list_members()
+                members = await node.list_members(stale)
+                stale = not stale
                 now = trio.current_time()
                 for identity in members:
                     node.fleet.note_listed(identity, now)
-                node.greet(self.core.build_report(now, asks_back=True), members)
-                addresses = [format_address(identity.address) for identity in members]
-                node.note("members-listed", {"count": len(addresses)})
-            await trio.sleep(REJOIN_S)
+                node.greet(self._build_greeting(), members)
+                node.note("members-listed", {"count": len(members)})
+            await trio.sleep(REJOIN_S / 2)
+
+    def _build_greeting(self) -> Report:
+        return self.core.build_report(trio.current_time(), asks_back=True)
 
     async def _tick(self) -> None:
         while True:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -4,8 +4,8 @@
 from attrs import define, field
 
 from fescueseam.exceptions import MessageError, StoreError
-from fescueseam.steering.balancer import Balancer
-from fescueseam.steering.members import Load, Role
+from fescueseam.steering.balancer import SETTLE_S, Balancer
+from fescueseam.steering.members import Identity, Load, Role
 from fescueseam.steering.notices import Located, Report
 from fescueseam.steering.rules import Outage, RuleBook, Rules
 from fescueseam.steering.segments import format_address
@@ -27,6 +27,10 @@
 HANDOVER_S = 1.6
 """Go on forwarding this long after the last ready answer, in seconds: the fabric asks twice a
 second and takes two misses."""
+FIRST_LOOK_S = 0.4
+"""Read the list of members again after this time, in seconds: all machines start within 0.3 s."""
+LOOK_EVERY_S = 3.2
+"""Read the list of members at least this often, in seconds; the read may be stale and is cheap."""
 HOMES_KEPT_S = 60.0
 """Remember the home of an idle flow this long, in seconds, its longest life."""
 
@@ -42,6 +46,10 @@
     _pending: trio.Event = field(factory=trio.Event)
     _fetching: int = 0
     _nursery: trio.Nursery | None = None
+    _has_list: bool = False
+    """Tell that the store has listed agents."""
+    _was_answered: bool = False
+    """Tell that another balancer has said whom it knows."""
 
     def __attrs_post_init__(self) -> None:
         self.core = Balancer(self.node.fleet, self.book, trio.current_time())
@@ -78,7 +86,9 @@
     def _take_packet(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
         if segment is not None:
-            self._do(self.core.handle_packet(segment, trio.current_time()))
+            now = trio.current_time()
+            self.core.knows_all = self.core.knows_all or self._knows_all(now)
+            self._do(self.core.handle_packet(segment, now))
 
     def _take_return(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
@@ -113,6 +123,7 @@
         node = self.node
         news = node.take_report(body, sequence, now)
         if body.identity.role is Role.BALANCER:
+            self._was_answered = True
             self._take_outage(body.outage, body.identity.name)
             if body.rules_version > max(self.book.rules.version, self._fetching):
                 self._fetching = body.rules_version
@@ -123,22 +134,36 @@
         if body.asks_back or (news and behind):
             node.tell(body.identity.address, self._build_report(full=body.asks_back))
 
+    def _knows_all(self, now: float) -> bool:
+        settled = now - self.core.started >= SETTLE_S
+        return self._has_list and (self._was_answered or settled)
+
     def _do(self, effects: list) -> None:  # type: ignore[type-arg]
         self.node.carry_out(effects)
         if self.core.is_waiting() and not self._pending.is_set():
             self._pending.set()
 
     async def _join(self) -> None:
+        """Find the other members, and go on looking: they may start later or be missed."""
         node = self.node
-        node.greet(self._build_report(asks_back=True), ())
-        members = await node.list_members()
-        now = trio.current_time()
+        node.greet(self._build_report(asks_back=True))
+        members = await node.list_members(stale=False)
+        self._take_listed(members)
+        await node.register()
+        pause_s = FIRST_LOOK_S
+        while True:
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LOOK_EVERY_S)
+            self._take_listed(await node.list_members(stale=True))
+
+    def _take_listed(self, members: list[Identity]) -> None:
+        node, now = self.node, trio.current_time()
         for identity in members:
-            node.fleet.note_listed(identity, now)
-        self.core.knows_all = True
+            if node.fleet.note_listed(identity, now):
+                node.note("member-listed", {"member": identity.name})
+        # The entries of a first start come while it goes on; later ones tell of every agent.
+        self._has_list = self._has_list or any(item.role is Role.AGENT for item in members)
         node.greet(self._build_report(asks_back=True), members)
-        node.note("members-listed", {"count": len(members)})
-        await node.register()
 
     async def _follow_rules(self) -> None:
         node = self.node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
@@ -35,6 +35,8 @@
 """Look for overdue answers this often while any is awaited, in seconds."""
 IDLE_TICK_S = 0.25
 """Look after everything else this often, in seconds."""
+HEARD_S = 1.5
+"""Greet nobody who was heard within this time, in seconds: three reports of a balancer."""
 STORE_BACKOFF_S = 0.25
 STORE_BACKOFF_CAP_S = 2.0
 """Wait at most this long before the store is called again: entries have to be back about two
@@ -162,13 +164,23 @@
                 changed = True
         return changed
 
-    def greet(self, report: Report, listed: Iterable[Identity]) -> None:
-        """Send a report to seeds and listed members, and ask for theirs."""
+    def greet(self, report: Report, listed: Iterable[Identity] = ()) -> int:
+        """Report to seeds and listed members that were not heard lately; return their number.
+
+        The report asks for theirs.
+        """
+        now = trio.current_time()
         addresses = {parse_address(seed.address) for seed in self.settings.seeds}
         addresses |= {identity.address for identity in listed}
         addresses.discard(self.own.address)
-        for address in sorted(addresses):
+        heard = {
+            member.identity.address
+            for member in self.fleet.members.values()
+            if now - member.heard_at < HEARD_S
+        }
+        for address in sorted(addresses - heard):
             self.tell(address, report)
+        return len(addresses - heard)
 
     async def register(self) -> None:
         """Write the own entry into the store; try again until it is there."""
@@ -182,11 +194,11 @@
             self.note("member-registered", {"address": self.settings.address})
             return
 
-    async def list_members(self) -> list[Identity]:
+    async def list_members(self, stale: bool) -> list[Identity]:
         """Return the registered members; try again until the store answers."""
         while True:
             try:
-                members = await self.store.list_members()
+                members = await self.store.list_members(stale)
             except StoreError as exc:
                 await self.wait_for_store(exc)
                 continue
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/ports.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/ports.py
@@ -49,8 +49,8 @@
     async def watch_outage(self, revision: int, wait_s: float) -> OutageEvents:
         """Wait for changes to the data centres taken out, for a bounded time."""
 
-    async def list_members(self) -> list[Identity]:
-        """Return the members that registered; the list may be seconds old."""
+    async def list_members(self, stale: bool) -> list[Identity]:
+        """Return the members that registered; a stale list is cheap and may be seconds old."""
 
     async def register(self, identity: Identity) -> bool:
         """Write the own entry; return whether the store has changed."""
