Reset and refuse nothing while cut off or before the data centres taken out are known

Cause, found by reading: a balancer that comes back from a partition hears one agent before the others and would take their silence for an answer; one that has the configuration but not yet the list of data centres taken out would offer flows to them. Each has a test that failed without its check.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -6,11 +6,12 @@
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.steering.agent import Agent
 from fescueseam.steering.backend import Backend, Verdict
+from fescueseam.steering.effects import Effects
 from fescueseam.steering.members import REPORT_INTERVAL_S, Availability
 from fescueseam.steering.notices import Locate, Report
 from fescueseam_daemon.steering.node import IDLE_TICK_S, TICK_S, Node
 from fescueseam_daemon.steering.ports import Farewell
-from fescueseam_daemon.steering.web import Request, Response
+from fescueseam_daemon.steering.web import Request, Response, answer_readiness
 
 LEAVE_S = 0.15
 """Let requests at work be answered for this long before the end, in seconds; the backend server
@@ -96,7 +97,7 @@
                 report = self.core.build_report(now)
                 self.node.tell(notice.body.identity.address, report)
 
-    def _do(self, effects: list) -> None:  # type: ignore[type-arg]
+    def _do(self, effects: Effects) -> None:
         self.node.carry_out(effects)
         if self.core.is_waiting() and not self._pending.is_set():
             self._pending.set()
@@ -120,9 +121,7 @@
         return Response(200, b"{}")
 
     async def _answer_readiness(self, request: Request) -> Response:
-        if request.path == "/readyz":
-            return Response(503 if self.core.leaving else 200, b"{}")
-        return Response(404, b'{"error": "no such page"}')
+        return answer_readiness(request, not self.core.leaving)
 
     async def _join(self) -> None:
         node = self.node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -5,15 +5,22 @@
 
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.steering.balancer import SETTLE_S, Balancer
+from fescueseam.steering.effects import Effects
 from fescueseam.steering.members import Identity, Load, Role
 from fescueseam.steering.notices import Located, Report
 from fescueseam.steering.rules import Outage, RuleBook, Rules
-from fescueseam.steering.segments import format_address
+from fescueseam.steering.segments import format_address, parse_address
 from fescueseam_daemon.steering.node import HTTP_PORT, IDLE_TICK_S, TICK_S, Node
 from fescueseam_daemon.steering.ports import OutageEvents
 from fescueseam_daemon.steering.rules_codec import decode_rules, encode_rules
 from fescueseam_daemon.steering.settings import Listener
-from fescueseam_daemon.steering.web import HttpClient, Request, Response
+from fescueseam_daemon.steering.web import (
+    NO_SUCH_PAGE,
+    HttpClient,
+    Request,
+    Response,
+    answer_readiness,
+)
 
 REPORT_EVERY_S = 0.5
 """Report to every member this often, in seconds."""
@@ -81,7 +88,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the fabric may send flows here."""
-        return not self.leaving and self.book.rules.version > 0 and bool(self.node.fleet.members)
+        return not self.leaving and self.book.is_complete() and bool(self.node.fleet.members)
 
     def _take_packet(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
@@ -97,15 +104,7 @@
         if not segment.returned:
             self.node.note("packet-malformed", {"reason": "not-returned", "sender": sender})
             return
-        member = next(
-            (
-                item
-                for item in self.node.fleet.members.values()
-                if format_address(item.identity.address) == sender
-            ),
-            None,
-        )
-        address = 0 if member is None else member.identity.address
+        address = parse_address(sender)
         self._do(self.core.handle_return(segment, address, trio.current_time()))
 
     def _take_notice(self, data: bytes, sender: str) -> None:
@@ -138,7 +137,7 @@
         settled = now - self.core.started >= SETTLE_S
         return self._has_list and (self._was_answered or settled)
 
-    def _do(self, effects: list) -> None:  # type: ignore[type-arg]
+    def _do(self, effects: Effects) -> None:
         self.node.carry_out(effects)
         if self.core.is_waiting() and not self._pending.is_set():
             self._pending.set()
@@ -234,14 +233,12 @@
             await client.close()
 
     async def _answer_readiness(self, request: Request) -> Response:
-        if request.path == "/readyz":
-            return Response(200 if self.is_ready() else 503, b"{}")
-        return Response(404, b'{"error": "no such page"}')
+        return answer_readiness(request, self.is_ready())
 
     async def _answer_peer(self, request: Request) -> Response:
         if request.path == "/rules":
             return Response(200, encode_rules(self.book.rules))
-        return Response(404, b'{"error": "no such page"}')
+        return NO_SUCH_PAGE
 
     async def _tick(self) -> None:
         while True:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
@@ -27,7 +27,7 @@
 from fescueseam_daemon.steering.links import UdpLink
 from fescueseam_daemon.steering.ports import ControlStore, Surroundings
 from fescueseam_daemon.steering.settings import Listener, SteeringSettings
-from fescueseam_daemon.steering.web import Request, Response, serve_http
+from fescueseam_daemon.steering.web import NO_SUCH_PAGE, Request, Response, serve_http
 
 NOTICE_PORT, PACKET_PORT, HTTP_PORT = 0, 1, 2
 """Number the ports for processes among themselves, from the first one."""
@@ -222,7 +222,7 @@
 
         async def handle(request: Request) -> Response:
             if request.path.partition("?")[0] != "/metrics":
-                return Response(404, b'{"error": "no such page"}')
+                return NO_SUCH_PAGE
             body = self.events.render(self.describe_gauges())
             return Response(200, body, "text/plain; version=0.0.4; charset=utf-8")
 
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/tests/test_events.py
@@ -0,0 +1,106 @@
+"""Log lines: structured, bounded, and never waiting for their reader."""
+
+import json
+import logging
+import os
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from fescueseam_daemon.steering.events import (
+    BURST_LINES,
+    LOGGER,
+    QUEUE_LINES,
+    Events,
+    LineHandler,
+    configure_lines,
+)
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    """Return the reading and the writing end of a pipe."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    LOGGER.handlers[:] = []
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader: int) -> list[dict[str, object]]:
+    return [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+
+
+def test_a_line_is_one_json_object(pipe: tuple[int, int]) -> None:
+    events = Events(10.0, configure_lines("balancer-1", pipe[1]))
+    events.note("flow-refused", {"flow": "a>b", "reason": "no-room"}, 1.0)
+    (line,) = read_lines(pipe[0])
+    assert line["event"] == "flow-refused"
+    assert line["instance"] == "balancer-1"
+    assert line["reason"] == "no-room"
+
+
+def test_a_reader_that_never_reads_stops_nothing(pipe: tuple[int, int]) -> None:
+    handler = configure_lines("balancer-1", pipe[1])
+    events = Events(1e9, handler)
+    started = time.monotonic()
+    for number in range(2 * QUEUE_LINES):
+        events.note(f"event-{number % 50}", {"pad": "x" * 200}, float(number))
+    assert time.monotonic() - started < 5.0
+    assert handler.left_out > 0
+    assert events.counts.total() == 2 * QUEUE_LINES
+
+
+def test_a_reader_that_comes_late_gets_whole_lines(pipe: tuple[int, int]) -> None:
+    handler = configure_lines("balancer-1", pipe[1])
+    events = Events(1e9, handler)
+    for number in range(1000):
+        events.note(f"event-{number % 50}", {"pad": "x" * 200}, float(number))
+    text = b""
+    while chunk := _read_some(pipe[0]):
+        text += chunk
+        handler.flush()
+    lines = [json.loads(line) for line in text.splitlines()]
+    assert len(lines) == 1000
+
+
+def _read_some(reader: int) -> bytes:
+    os.set_blocking(reader, False)
+    try:
+        return os.read(reader, 1 << 16)
+    except BlockingIOError:
+        return b""
+
+
+def test_a_reader_that_is_gone_costs_no_memory() -> None:
+    reader, writer = os.pipe()
+    handler = LineHandler(writer, "balancer-1")
+    os.close(reader)
+    handler.emit(logging.LogRecord("x", logging.INFO, "", 0, "event", None, None))
+    os.close(writer)
+    assert handler.left_out == 1
+
+
+def test_lines_of_one_kind_are_bounded_and_say_what_was_left_out(pipe: tuple[int, int]) -> None:
+    events = Events(10.0, configure_lines("balancer-1", pipe[1]))
+    for _ in range(1000):
+        events.note("flow-offered", {}, 1.0)
+    events.note("flow-refused", {}, 1.0)
+    events.note("flow-offered", {}, 2.0)
+    lines = read_lines(pipe[0])
+    assert len(lines) == BURST_LINES + 2
+    assert lines[-1]["left_out_before"] == 1000 - BURST_LINES
+    assert events.counts["flow-offered", ""] == 1001
+
+
+def test_metrics_hold_counters_and_histograms() -> None:
+    events = Events(10.0)
+    events.note("flow-refused", {"reason": "no-room"}, 1.0)
+    for value in (0.002, 0.02, 20.0):
+        events.observe("service_seconds", "alerts", value)
+    text = events.render({"members": 3.0}).decode()
+    assert 'fescueseam_events_total{event="flow-refused",reason="no-room"} 1.0' in text
+    assert 'fescueseam_service_seconds_bucket{le="0.03",service="alerts"} 2.0' in text
+    assert 'fescueseam_service_seconds_count{service="alerts"} 3.0' in text
+    assert "fescueseam_members 3.0" in text
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/web.py
@@ -42,6 +42,7 @@
     content_type: str = "application/json"
 
 
+NO_SUCH_PAGE = Response(404, b'{"error": "no such page"}')
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -49,6 +50,13 @@
     """Report a request whose answer did not come; it may have taken effect."""
 
 
+def answer_readiness(request: Request, is_ready: bool) -> Response:
+    """Return the answer to the fabric's question whether a process takes flows."""
+    if request.path != "/readyz":
+        return NO_SUCH_PAGE
+    return Response(200 if is_ready else 503, b"{}")
+
+
 async def serve_http(address: str, port: int, handler: Handler) -> None:
     """Serve requests until cancelled; raise SettingsError if the address cannot be bound."""
     try:
--- a/packages/fescueseam/src/fescueseam/steering/balancer.py
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -1,5 +1,6 @@
 """Decide what a balancer does with the packets of callers."""
 
+import heapq
 from collections import OrderedDict
 
 from attrs import define, field
@@ -8,6 +9,18 @@
 from fescueseam.steering.effects import Effects, Hand, Note, Reset, Tell
 from fescueseam.steering.members import Availability, Fleet, Member, compute_tag
 from fescueseam.steering.notices import Holding, Locate, Located
+from fescueseam.steering.offers import (
+    BUSY_REST_S,
+    CLOSED_REST_S,
+    OFFER_KEPT_S,
+    OFFER_TIMEOUT_S,
+    PARK_RETRY_S,
+    PARK_S,
+    PARKED_LIMIT,
+    PARKED_PER_TICK,
+    TRIES_LIMIT,
+    Offer,
+)
 from fescueseam.steering.rules import RuleBook
 from fescueseam.steering.searches import (
     ASK_INTERVAL_S,
@@ -17,32 +30,11 @@
 )
 from fescueseam.steering.segments import FlowId, Mark, Purpose, Segment, format_flow
 
-OFFER_TIMEOUT_S = 0.06
-"""Offer an opening packet elsewhere after this time without an answer, in seconds."""
-OFFER_KEPT_S = 0.4
-"""Keep a delivered opening packet this long, in seconds: the backend server may still return it."""
 HOMES_LIMIT = 65_536
 """Bound the homes that are remembered; one that gave way is found again by asking."""
-TRIES_LIMIT = 8
-"""Offer an opening packet to this many agents before it is refused."""
-BUSY_REST_S = 0.06
-"""Prefer others for this long after an agent had no free slot, in seconds: about a service time."""
-CLOSED_REST_S = 0.15
-"""Offer an agent nothing for this long after it turned down even what would wait, in seconds; its
-next report says more."""
 SETTLE_S = 2.0
 """Refuse nothing for want of agents this soon after the start, in seconds; they announce
 themselves within a few report intervals."""
-PARK_S = 1.2
-"""Keep an opening packet for an agent that is about to be ready this long, in seconds; callers
-give up after 1.4 s."""
-PARK_RETRY_S = 0.04
-"""Try to place a parked opening packet this often, in seconds."""
-PARKED_PER_TICK = 4
-"""Try this many parked opening packets at once; with a tick of 20 ms that is more than a balancer's
-share of the new flows."""
-PARKED_LIMIT = 2048
-"""Bound the parked opening packets; callers send those beyond it again."""
 
 
 @define
@@ -54,25 +46,6 @@
     used_at: float
 
 
-@define(eq=False)
-class Offer:
-    """Hold an opening packet until the caller has answered the handshake."""
-
-    segment: Segment
-    service: str
-    agent: str
-    sent_at: float
-    tried: set[str] = field(factory=set)
-    """Name the agents that the packet was offered to."""
-    closed: set[str] = field(factory=set)
-    """Name those that would not take it with free slots either."""
-    insists: bool = False
-    parked_at: float | None = None
-    """Hold when it began to wait for an agent that is about to be ready."""
-    delivered: bool = False
-    """Tell that the agent has delivered the packet to its backend server."""
-
-
 @define(eq=False)
 class Balancer:
     """Hand each packet to the agent of its flow; what it remembers may be lost at any time."""
@@ -173,7 +146,10 @@
             if now >= search.next_ask:
                 effects += self._ask_again(search, now)
         # A few at a time, the oldest first: what becomes of them tells whether there is room.
-        for flow, offer in list(self.parked.items())[:PARKED_PER_TICK]:
+        oldest = heapq.nsmallest(
+            PARKED_PER_TICK, self.parked.items(), key=lambda item: item[1].parked_at or now
+        )
+        for flow, offer in oldest:
             if now - offer.sent_at >= PARK_RETRY_S:
                 del self.parked[flow]
                 offer.tried.clear()
@@ -205,6 +181,8 @@
         return self._make_offer(offer, flow, now)
 
     def _make_offer(self, offer: Offer, flow: FlowId, now: float) -> Effects:
+        if not self.book.is_complete():
+            return self._park(offer, flow, now)
         member = None
         if not offer.insists and len(offer.tried) < TRIES_LIMIT:
             member = choose_agent(self.fleet, self.book, offer.service, offer.tried, now)
@@ -244,6 +222,7 @@
         }
         awaited = (
             now - self.started < SETTLE_S
+            or not self.book.is_complete()
             or Availability.UNKNOWN in states
             or (Availability.ABSENT in states and Availability.READY not in states)
         )
@@ -257,7 +236,6 @@
             return [Note("opening-dropped", fields)]
         offer.sent_at = now
         self.parked[flow] = offer
-        self.parked = dict(sorted(self.parked.items(), key=lambda item: item[1].parked_at or now))
         if not first:
             return []
         fields = {"flow": format_flow(flow), "service": offer.service, "reason": reason}
@@ -396,10 +374,16 @@
             "packet": segment.describe(),
             "took_ms": round((now - search.started) * 1000),
         }
-        if silent or not self.knows_all or not search.asked:
+        if silent or not self.knows_all or not search.asked or self._is_cut_off(search, now):
             return [Note("packet-dropped", {**fields, "reason": "home-unknown"})]
         return [Note("flow-reset", {**fields, "reason": "not-held"}), Reset(segment)]
 
+    def _is_cut_off(self, search: Search, now: float) -> bool:
+        # Where half of the agents are unheard, this process is more likely to be the lost one.
+        agents = self.fleet.list_agents(search.services)
+        gone = sum(1 for member in agents if self.fleet.is_gone(member, now))
+        return 2 * gone >= len(agents)
+
     def _remember(self, flow: FlowId, agent: str, service: str, now: float) -> None:
         self.homes[flow] = Home(agent, service, now)
         self.homes.move_to_end(flow)
--- a/packages/fescueseam/src/fescueseam/steering/rules.py
+++ b/packages/fescueseam/src/fescueseam/steering/rules.py
@@ -74,6 +74,10 @@
         self._services = {service.name: service for service in rules.services}
         return True
 
+    def is_complete(self) -> bool:
+        """Tell whether both the configuration and the data centres taken out are known."""
+        return self.rules.version > 0 and self.outage.revision > 0
+
     def take_outage(self, outage: Outage) -> bool:
         """Take the data centres that are out if the revision is newer; tell whether it was."""
         if outage.revision <= self.outage.revision:
--- a/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
@@ -13,7 +13,7 @@
 from fescueseam.steering.effects import Answer, Deliver, Effects, Hand, Note, Reset, Tell
 from fescueseam.steering.members import Availability, Fleet, Identity, Load, Role
 from fescueseam.steering.notices import Locate, Located, Report
-from fescueseam.steering.rules import Route, RuleBook, Rules, ServiceRules, Share
+from fescueseam.steering.rules import Outage, Route, RuleBook, Rules, ServiceRules, Share
 from fescueseam.steering.segments import NO_MARK, FlowId, Segment
 
 HOP_S = 0.001
@@ -100,6 +100,7 @@
         own = Identity(f"balancer-{address}", Role.BALANCER, address, data_centre, "", self._next())
         book = RuleBook()
         book.take_rules(self.rules)
+        book.take_outage(Outage(1))
         core = Balancer(Fleet(own), book, self.now, knows_all=True)
         self._join(address, core, own)
         return core
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_flows_survive.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_flows_survive.py
@@ -144,3 +144,17 @@
     home = opened.find_home(flow)
     assert home is not None
     assert opened.backends[home].served == 5
+
+
+def test_a_balancer_that_was_cut_off_resets_nothing_when_it_hears_one_agent(opened: Mesh) -> None:
+    flow = flow_number(0)
+    home = opened.find_home(flow)
+    balancer = opened.nodes[1]
+    opened.cut.add(1)
+    opened.run(GONE_AFTER_S + 1.0)
+    opened.cut.clear()
+    other = next(address for address in (11, 12, 13) if address != home)
+    balancer.fleet.note_heard(f"agent-{other}", opened.now)
+    opened.request(flow, balancer=1)
+    opened.run(0.01)
+    assert opened.resets == []
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_openings.py
@@ -1,8 +1,9 @@
 """Where new flows go, and when they are refused."""
 
 from fescueseam.steering.agent import ANSWER_TIMEOUT_S
-from fescueseam.steering.balancer import OFFER_TIMEOUT_S, SETTLE_S
+from fescueseam.steering.balancer import SETTLE_S
 from fescueseam.steering.members import Availability
+from fescueseam.steering.offers import OFFER_TIMEOUT_S
 from fescueseam.steering.rules import Outage, Route, Rules, Share
 from fescueseam.steering.tests.conftest import (
     ALERTS,
@@ -180,3 +181,16 @@
     assert count_openings(mesh, 11) == 0
     reasons = {note.fields["reason"] for note in mesh.notes if note.event == "opening-returned"}
     assert "agent-leaving" not in reasons
+
+
+def test_a_balancer_that_does_not_know_the_outage_offers_nothing(mesh: Mesh) -> None:
+    balancer = mesh.add_balancer(3)
+    balancer.book.outage = Outage()
+    mesh.run(0.3)
+    mesh.send(build_opening(flow_number(0)), 3)
+    mesh.run(0.1)
+    assert mesh.count_notes("flow-offered") == 0
+    assert mesh.resets == []
+    balancer.book.take_outage(Outage(9, frozenset({"b"})))
+    mesh.run(0.1)
+    assert mesh.count_notes("flow-offered") == 1
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
@@ -1,7 +1,7 @@
 """Load pattern: every machine loses power at once and callers press on while it comes back."""
 
-from fescueseam.steering.balancer import CLOSED_REST_S, PARK_S, PARKED_PER_TICK
 from fescueseam.steering.members import UNHEARD_AFTER_S, Identity, Role
+from fescueseam.steering.offers import CLOSED_REST_S, PARK_S, PARKED_PER_TICK
 from fescueseam.steering.tests.conftest import (
     ALERTS,
     FakeBackend,
