Take a silent agent without a server for gone after two seconds

An agent that had not heard of any server when it fell silent counts as gone after 2 s. The new test failed before.

--- a/packages/fescueseam/src/fescueseam/steering/backend.py
+++ b/packages/fescueseam/src/fescueseam/steering/backend.py
@@ -107,7 +107,9 @@
     def find_availability(self, now: float) -> Availability:
         """Return whether the backend server may get new flows now."""
         unanswered = self.unanswered >= UNANSWERED_LIMIT
-        if self.availability is Availability.UNKNOWN and (unanswered or self.is_missing(now)):
+        if self.is_missing(now):
+            return Availability.LEFT
+        if self.availability is Availability.UNKNOWN and unanswered:
             return Availability.ABSENT
         if self.availability is not Availability.READY:
             return self.availability
--- a/packages/fescueseam/src/fescueseam/steering/members.py
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -15,8 +15,8 @@
 GONE_AFTER_S = 4.0
 """Take a member unheard for this long for gone, in seconds: a restart takes less."""
 UNHEARD_AFTER_S = 2.0
-"""Take a listed member that was never heard for gone after this long, in seconds: a process is
-back within about a second, and entries outlive members that were lost."""
+"""Take a member that was only listed, or an agent without a server, for gone after this long, in
+seconds: a process is back within about a second, and entries outlive members that were lost."""
 FORGET_AFTER_S = 60.0
 """Forget a member unheard for a flow's longest life, in seconds."""
 
@@ -38,7 +38,7 @@
     READY = "ready"
     DRAINING = "draining"
     LEFT = "left"
-    """The backend server has ended on purpose."""
+    """No backend server is there: it has ended on purpose or never came."""
 
 
 @frozen
@@ -182,7 +182,9 @@
         """Tell whether a member has been unheard for too long to hold flows."""
         if member.heard_at == -math.inf:
             return now - member.listed_at >= UNHEARD_AFTER_S
-        return now - member.heard_at >= GONE_AFTER_S
+        # An agent that fell silent before it had heard of a server stands beside none.
+        alone = member.load.availability in (Availability.UNKNOWN, Availability.LEFT)
+        return now - member.heard_at >= (UNHEARD_AFTER_S if alone else GONE_AFTER_S)
 
     def forget_lost(self, now: float) -> list[Identity]:
         """Forget the members unheard for very long; return them."""
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_recovery.py
@@ -182,3 +182,18 @@
     mesh.run(0.3)
     assert mesh.resets == []
     assert mesh.backends[11].served == 1
+
+
+def test_a_retired_agent_that_shows_up_and_goes_does_not_keep_dead_flows_waiting(
+    mesh: Mesh,
+) -> None:
+    mesh.beat(13, 90)
+    agent = mesh.nodes[13]
+    agent.backend.current = None
+    agent.backend.availability = Availability.UNKNOWN
+    mesh.run(0.3)
+    mesh.cut.add(13)
+    mesh.run(UNHEARD_AFTER_S)
+    mesh.request(flow_number(0), 1)
+    mesh.run(0.1)
+    assert mesh.resets == [flow_number(0)]
