--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
@@ -14,6 +14,7 @@
     make_registry,
     render_metrics_page,
 )
+from fescueseam_daemon.steering.events import Events
 
 ROOT = Path(__file__).parents[5]
 EXAMPLES = ROOT / "examples" / "observability"
@@ -82,9 +83,25 @@
 PAGES = [*(ROOT / "docs").rglob("*.md")]
 
 
+def list_steering_series() -> set[str]:
+    """Return the series that the processes on the users' machines serve."""
+    events = Events(1.0)
+    events.note("started", {}, 0.0)
+    for measure in ("opening_seconds", "service_seconds"):
+        events.observe(measure, "alerts", 0.0)
+    text = events.render({"members": 0.0, "datagrams_not_sent": 0.0}).decode()
+    served = set(re.findall(r"^(fescueseam_\w+)", text, re.MULTILINE))
+    return served | set(re.findall(r"^# TYPE (fescueseam_\w+)", text, re.MULTILINE))
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: str(page.relative_to(ROOT)))
 def test_pages_name_metrics_that_exist(page: Path, labels_of: dict[str, set[str]]) -> None:
     families = {find_name(metric) for metric in list_metrics(make_registry())}
-    packages = {"fescueseam_cli", "fescueseam_daemon", "fescueseam_standins"}
+    packages = {
+        "fescueseam_cli",
+        "fescueseam_daemon",
+        "fescueseam_platform",
+        "fescueseam_standins",
+    }
     named = set(re.findall(r"\bfescueseam_[a-z_]+", page.read_text()))
-    assert named - packages <= families | set(labels_of)
+    assert named - packages <= families | set(labels_of) | list_steering_series()
