--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
@@ -105,3 +105,17 @@
     }
     named = set(re.findall(r"\bfescueseam_[a-z_]+", page.read_text()))
     assert named - packages <= families | set(labels_of) | list_steering_series()
+
+
+STEERING = [
+    *(ROOT / "packages/fescueseam/src/fescueseam/steering").glob("*.py"),
+    *(ROOT / "packages/fescueseam-daemon/src/fescueseam_daemon/steering").glob("*.py"),
+]
+
+
+def test_operations_page_explains_every_event() -> None:
+    sources = "".join(path.read_text() for path in STEERING)
+    written = set(re.findall(r'\b[Nn]ote\(\s*"([a-z-]+)"', sources))
+    written |= set(re.findall(r'"(dependency-[a-z-]+)"', sources))
+    page = (ROOT / "docs/OPERATIONS.md").read_text()
+    assert {name for name in written if f"`{name}`" not in page} == set()
