Report in turn without members, and ask silent agents before a flow is reset

On an entry instance with a link of 5 Mbit/s the end of the burst was lost, always to the same members.

Change: a balancer spreads its reports over the interval; they name members only in answer to a greeting, and agents are told balancers only. An agent that fell silent beside a server is asked as well before a flow is given up; opening packets do not wait for it. A member that is gone or back gets a line. opening_seconds records the time (it was always 0). Fleet finds members by address and service without a walk; searches have a module of their own; both roles share one ticker. What nothing used is gone.

The new tests failed before.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -6,12 +6,12 @@
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.steering.agent import Agent
 from fescueseam.steering.backend import Backend, Verdict
-from fescueseam.steering.effects import Effects
 from fescueseam.steering.members import REPORT_INTERVAL_S, Availability
 from fescueseam.steering.notices import Locate, Report
-from fescueseam_daemon.steering.node import IDLE_TICK_S, TICK_S, Node
+from fescueseam_daemon.steering.node import IDLE_TICK_S, Node
 from fescueseam_daemon.steering.ports import Farewell
-from fescueseam_daemon.steering.web import Request, Response, answer_readiness
+from fescueseam_daemon.steering.ticker import TICK_S, Ticker
+from fescueseam_daemon.steering.web import Request, Response, answer_readiness, serve_http
 
 LEAVE_S = 0.15
 """Let requests at work be answered for this long before the end, in seconds; the backend server
@@ -28,13 +28,14 @@
 
     node: Node
     core: Agent = field(init=False)
-    _pending: trio.Event = field(factory=trio.Event)
+    ticker: Ticker = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         settings = self.node.settings
         now = trio.current_time()
         backend = Backend(settings.service, settings.heartbeat_interval_s, now)
         self.core = Agent(self.node.fleet, backend, now)
+        self.ticker = Ticker(self.node, self.core)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -45,11 +46,14 @@
             nursery.start_soon(node.edge_packets.receive, self._take_answer)
             nursery.start_soon(node.peer_packets.receive, self._take_packet)
             nursery.start_soon(node.notices.receive, self._take_notice)
-            nursery.start_soon(node.serve, settings.heartbeats, self._answer_heartbeat)
-            nursery.start_soon(node.serve, settings.readiness, self._answer_readiness)
+            for listener, answer in (
+                (settings.heartbeats, self._answer_heartbeat),
+                (settings.readiness, self._answer_readiness),
+            ):
+                nursery.start_soon(serve_http, listener.address, listener.port, answer)
             nursery.start_soon(self._join)
             nursery.start_soon(node.serve_metrics)
-            nursery.start_soon(self._tick)
+            nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._report_often)
 
     async def leave(self) -> None:
@@ -73,12 +77,12 @@
     def _take_packet(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
         if segment is not None:
-            self._do(self.core.handle_packet(segment, trio.current_time()))
+            self.ticker.carry_out(self.core.handle_packet(segment, trio.current_time()))
 
     def _take_answer(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
         if segment is not None:
-            self._do(self.core.handle_answer(segment, trio.current_time()))
+            self.ticker.carry_out(self.core.handle_answer(segment, trio.current_time()))
 
     def _take_notice(self, data: bytes, sender: str) -> None:
         notice = self.node.decode_notice(data, sender)
@@ -89,19 +93,14 @@
             member = self.node.fleet.find(notice.sender)
             if member is not None:
                 address = member.identity.address
-                self._do(self.core.handle_locate(address, notice.body, now))
+                self.ticker.carry_out(self.core.handle_locate(address, notice.body, now))
         elif isinstance(notice.body, Report):
             news = self.node.take_report(notice.body, notice.sequence, now)
-            self._do(self.core.handle_report(notice.body, now))
+            self.ticker.carry_out(self.core.handle_report(notice.body, now))
             if news or notice.body.asks_back:
                 report = self.core.build_report(now)
                 self.node.tell(notice.body.identity.address, report)
 
-    def _do(self, effects: Effects) -> None:
-        self.node.carry_out(effects)
-        if self.core.is_waiting() and not self._pending.is_set():
-            self._pending.set()
-
     async def _answer_heartbeat(self, request: Request) -> Response:
         now = trio.current_time()
         try:
@@ -110,10 +109,10 @@
             self.node.note("heartbeat-malformed", {"reason": exc.kind.value, "cause": str(exc)})
             return Response(400, b'{"error": "not a heartbeat"}')
         if isinstance(said, Farewell):
-            self._do(self.core.handle_farewell(said.name, now))
+            self.ticker.carry_out(self.core.handle_farewell(said.name, now))
             return Response(200, b"{}")
         verdict, effects = self.core.handle_heartbeat(said, now)
-        self._do(effects)
+        self.ticker.carry_out(effects)
         if verdict is Verdict.FOREIGN:
             fields = {"reason": verdict.value, "backend": said.name, "service": said.service}
             self.node.note("heartbeat-refused", fields)
@@ -146,18 +145,10 @@
     def _build_greeting(self) -> Report:
         return self.core.build_report(trio.current_time(), asks_back=True)
 
-    async def _tick(self) -> None:
-        while True:
-            await self._pending.wait()
-            while self.core.is_waiting():
-                await trio.sleep(TICK_S)
-                self.node.carry_out(self.core.tick(trio.current_time()))
-            self._pending = trio.Event()
-
     async def _report_often(self) -> None:
         while True:
             await trio.sleep(min(REPORT_INTERVAL_S, IDLE_TICK_S))
             now = trio.current_time()
             self.node.carry_out(self.core.tick(now))
             self.node.carry_out(self.core.report_to_all(now))
-            self.node.fleet.forget_lost(now)
+            self.node.note_presence(now)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -1,29 +1,34 @@
 """Run a balancer on an entry instance."""
 
+from collections.abc import Iterable
+
 import trio
 from attrs import define, field
 
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.steering.balancer import SETTLE_S, Balancer
-from fescueseam.steering.effects import Effects
-from fescueseam.steering.members import Identity, Load, Role
+from fescueseam.steering.members import Identity, Load, Member, Role
 from fescueseam.steering.notices import Located, Report
 from fescueseam.steering.rules import Outage, RuleBook, Rules
 from fescueseam.steering.segments import format_address, parse_address
-from fescueseam_daemon.steering.node import HTTP_PORT, IDLE_TICK_S, TICK_S, Node
+from fescueseam_daemon.steering.node import HTTP_PORT, IDLE_TICK_S, Node
 from fescueseam_daemon.steering.ports import OutageEvents
 from fescueseam_daemon.steering.rules_codec import decode_rules, encode_rules
 from fescueseam_daemon.steering.settings import Listener
+from fescueseam_daemon.steering.ticker import Ticker
 from fescueseam_daemon.steering.web import (
     NO_SUCH_PAGE,
     HttpClient,
     Request,
     Response,
     answer_readiness,
+    serve_http,
 )
 
 REPORT_EVERY_S = 0.5
 """Report to every member this often, in seconds."""
+REPORT_STEP_S = 0.05
+"""Send a part of the reports this often, in seconds, so that they never fill a narrow link."""
 WATCH_S = 5.0
 """Let the store hold a watch this long, in seconds; a connection that went silent is noticed
 after it."""
@@ -50,7 +55,7 @@
     core: Balancer = field(init=False)
     book: RuleBook = field(factory=RuleBook)
     leaving: bool = False
-    _pending: trio.Event = field(factory=trio.Event)
+    ticker: Ticker = field(init=False)
     _fetching: int = 0
     _nursery: trio.Nursery | None = None
     _has_list: bool = False
@@ -60,6 +65,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.core = Balancer(self.node.fleet, self.book, trio.current_time())
+        self.ticker = Ticker(self.node, self.core)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -73,12 +79,15 @@
             nursery.start_soon(self._follow_rules)
             nursery.start_soon(self._follow_outage)
             nursery.start_soon(self._join)
-            nursery.start_soon(node.serve, settings.readiness, self._answer_readiness)
-            peer = Listener(settings.address, settings.peer_port + HTTP_PORT)
-            nursery.start_soon(node.serve, peer, self._answer_peer)
+            for listener, answer in (
+                (settings.readiness, self._answer_readiness),
+                (Listener(settings.address, settings.peer_port + HTTP_PORT), self._answer_peer),
+            ):
+                nursery.start_soon(serve_http, listener.address, listener.port, answer)
             nursery.start_soon(node.serve_metrics)
-            nursery.start_soon(self._tick)
+            nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._look_after)
+            nursery.start_soon(self._report_in_turn)
 
     async def leave(self) -> None:
         """Say that this process is not ready, and go on until the fabric has noticed."""
@@ -95,7 +104,7 @@
         if segment is not None:
             now = trio.current_time()
             self.core.knows_all = self.core.knows_all or self._knows_all(now)
-            self._do(self.core.handle_packet(segment, now))
+            self.ticker.carry_out(self.core.handle_packet(segment, now))
 
     def _take_return(self, data: bytes, sender: str) -> None:
         segment = self.node.decode(data, sender)
@@ -105,7 +114,7 @@
             self.node.note("packet-malformed", {"reason": "not-returned", "sender": sender})
             return
         address = parse_address(sender)
-        self._do(self.core.handle_return(segment, address, trio.current_time()))
+        self.ticker.carry_out(self.core.handle_return(segment, address, trio.current_time()))
 
     def _take_notice(self, data: bytes, sender: str) -> None:
         notice = self.node.decode_notice(data, sender)
@@ -114,7 +123,7 @@
         now = trio.current_time()
         if isinstance(notice.body, Located):
             self.node.fleet.note_heard(notice.sender, now)
-            self._do(self.core.handle_located(notice.sender, notice.body, now))
+            self.ticker.carry_out(self.core.handle_located(notice.sender, notice.body, now))
         elif isinstance(notice.body, Report):
             self._take_report(notice.body, notice.sequence, now)
 
@@ -131,17 +140,13 @@
         behind = body.rules_version < self.book.rules.version
         behind = behind or body.outage.revision < self.book.outage.revision
         if body.asks_back or (news and behind):
-            node.tell(body.identity.address, self._build_report(full=body.asks_back))
+            answers = body.identity.role if body.asks_back else None
+            node.tell(body.identity.address, self._build_report(answers=answers))
 
     def _knows_all(self, now: float) -> bool:
         settled = now - self.core.started >= SETTLE_S
         return self._has_list and (self._was_answered or settled)
 
-    def _do(self, effects: Effects) -> None:
-        self.node.carry_out(effects)
-        if self.core.is_waiting() and not self._pending.is_set():
-            self._pending.set()
-
     async def _join(self) -> None:
         """Find the other members, and go on looking: they may start later or be missed."""
         node = self.node
@@ -240,38 +245,39 @@
             return Response(200, encode_rules(self.book.rules))
         return NO_SUCH_PAGE
 
-    async def _tick(self) -> None:
-        while True:
-            await self._pending.wait()
-            while self.core.is_waiting():
-                await trio.sleep(TICK_S)
-                self.node.carry_out(self.core.tick(trio.current_time()))
-            self._pending = trio.Event()
-
     async def _look_after(self) -> None:
-        reported = 0.0
         while True:
             await trio.sleep(IDLE_TICK_S)
             now = trio.current_time()
-            if now - reported >= REPORT_EVERY_S:
-                reported = now
-                self._report()
             self.core.forget_idle(now, HOMES_KEPT_S)
-            for identity in self.node.fleet.forget_lost(now):
-                self.node.note("member-forgotten", {"member": identity.name})
+            self.node.note_presence(now)
+
+    async def _report_in_turn(self) -> None:
+        while True:
+            await trio.sleep(REPORT_STEP_S)
+            due = self.node.fleet.list_due_reports(
+                REPORT_EVERY_S, REPORT_STEP_S, trio.current_time()
+            )
+            if due:
+                self._report(due)
 
-    def _report(self) -> None:
-        body = self._build_report()
-        for member in list(self.node.fleet.members.values()):
+    def _report(self, members: Iterable[Member] | None = None) -> None:
+        """Report to some members, or at once to all."""
+        body, now = self._build_report(), trio.current_time()
+        for member in list(self.node.fleet.members.values()) if members is None else members:
+            member.reported_to_at = now
             self.node.tell(member.identity.address, body)
 
-    def _build_report(self, asks_back: bool = False, full: bool = False) -> Report:
+    def _build_report(self, asks_back: bool = False, answers: Role | None = None) -> Report:
+        """Return a report; one that answers names the members that the asking role talks to."""
         now = trio.current_time()
+        fleet = self.node.fleet
         others = tuple(
             member.identity
-            for member in self.node.fleet.members.values()
-            if not self.node.fleet.is_gone(member, now)
-            and (full or member.identity.role is Role.BALANCER)
+            for member in fleet.members.values()
+            if answers is not None
+            and (answers is Role.BALANCER or member.identity.role is Role.BALANCER)
+            and not fleet.is_gone(member, now)
         )
         return Report(
             self.node.own,
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/links.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/links.py
@@ -8,8 +8,6 @@
 from fescueseam_daemon.sockets import BATCH_DATAGRAMS, open_udp
 
 DATAGRAM_BYTES = 65_535
-Datagram = tuple[bytes, str]
-"""Hold the bytes and the sender's address."""
 
 
 class UdpLink:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
@@ -26,13 +26,11 @@
 from fescueseam_daemon.steering.events import Events
 from fescueseam_daemon.steering.links import UdpLink
 from fescueseam_daemon.steering.ports import ControlStore, Surroundings
-from fescueseam_daemon.steering.settings import Listener, SteeringSettings
+from fescueseam_daemon.steering.settings import SteeringSettings
 from fescueseam_daemon.steering.web import NO_SUCH_PAGE, Request, Response, serve_http
 
 NOTICE_PORT, PACKET_PORT, HTTP_PORT = 0, 1, 2
 """Number the ports for processes among themselves, from the first one."""
-TICK_S = 0.02
-"""Look for overdue answers this often while any is awaited, in seconds."""
 IDLE_TICK_S = 0.25
 """Look after everything else this often, in seconds."""
 HEARD_S = 1.5
@@ -164,11 +162,17 @@
                 changed = True
         return changed
 
-    def greet(self, report: Report, listed: Iterable[Identity] = ()) -> int:
-        """Report to seeds and listed members that were not heard lately; return their number.
-
-        The report asks for theirs.
-        """
+    def note_presence(self, now: float) -> None:
+        """Write a line for each member that is gone, back or forgotten."""
+        for member in self.fleet.list_presence_changes(now):
+            unheard_s = now - max(member.heard_at, member.listed_at)
+            fields = {"member": member.identity.name, "unheard_ms": round(unheard_s * 1000)}
+            self.note("member-gone" if member.noted_gone else "member-back", fields)
+        for identity in self.fleet.forget_lost(now):
+            self.note("member-forgotten", {"member": identity.name})
+
+    def greet(self, report: Report, listed: Iterable[Identity] = ()) -> None:
+        """Report to seeds and listed members that were not heard lately, to get their reports."""
         now = trio.current_time()
         addresses = {parse_address(seed.address) for seed in self.settings.seeds}
         addresses |= {identity.address for identity in listed}
@@ -180,7 +184,6 @@
         }
         for address in sorted(addresses - heard):
             self.tell(address, report)
-        return len(addresses - heard)
 
     async def register(self) -> None:
         """Write the own entry into the store; try again until it is there."""
@@ -213,10 +216,6 @@
         )
         await trio.sleep(max(wait_s, STORE_BACKOFF_S))
 
-    async def serve(self, listener: Listener, handler: Any) -> None:
-        """Serve HTTP at one address."""
-        await serve_http(listener.address, listener.port, handler)
-
     async def serve_metrics(self) -> None:
         """Serve the metrics address."""
 
--- a/packages/fescueseam/src/fescueseam/steering/agent.py
+++ b/packages/fescueseam/src/fescueseam/steering/agent.py
@@ -90,8 +90,10 @@
             return self._handle_returned(segment, now)
         flow = segment.flow_to_caller()
         effects: Effects = [Answer(segment)]
-        if self._waiting.pop(flow, None) is not None:
-            effects.append(Observe("opening_seconds", self.backend.service, 0.0))
+        waiting = self._waiting.pop(flow, None)
+        if waiting is not None:
+            took_s = now - waiting.sent_at
+            effects.append(Observe("opening_seconds", self.backend.service, took_s))
         entry = self.flows.find(flow)
         if entry is None:
             if segment.resets:
@@ -104,10 +106,10 @@
         if not segment.opens:
             entry.is_open = True
         self._note_busy(now)
-        took_s = self.flows.note_from_server(flow, entry, segment, now)
-        if took_s is not None:
-            self._note_service_time(took_s)
-            effects.append(Observe("service_seconds", self.backend.service, took_s))
+        service_time_s = self.flows.note_from_server(flow, entry, segment, now)
+        if service_time_s is not None:
+            self._note_service_time(service_time_s)
+            effects.append(Observe("service_seconds", self.backend.service, service_time_s))
         if segment.resets:
             entry.caller_finished = entry.server_finished = True
         return effects
--- a/packages/fescueseam/src/fescueseam/steering/balancer.py
+++ b/packages/fescueseam/src/fescueseam/steering/balancer.py
@@ -6,9 +6,10 @@
 from attrs import define, field
 
 from fescueseam.steering.choice import choose_agent
-from fescueseam.steering.effects import Effects, Hand, Note, Reset, Tell
+from fescueseam.steering.effects import Effects, Hand, Note, Reset
+from fescueseam.steering.finder import Finder
 from fescueseam.steering.members import Availability, Fleet, Member, compute_tag
-from fescueseam.steering.notices import Holding, Locate, Located
+from fescueseam.steering.notices import Holding, Located
 from fescueseam.steering.offers import (
     BUSY_REST_S,
     CLOSED_REST_S,
@@ -22,12 +23,7 @@
     Offer,
 )
 from fescueseam.steering.rules import RuleBook
-from fescueseam.steering.searches import (
-    ASK_INTERVAL_S,
-    ASK_LIMIT,
-    SEARCHES_LIMIT,
-    Search,
-)
+from fescueseam.steering.searches import Search
 from fescueseam.steering.segments import FlowId, Mark, Purpose, Segment, format_flow
 
 HOMES_LIMIT = 65_536
@@ -57,8 +53,16 @@
     """Tell that the list of members was read once, so that an unheard agent is missed."""
     homes: OrderedDict[FlowId, Home] = field(factory=OrderedDict)
     offers: dict[FlowId, Offer] = field(factory=dict)
-    searches: dict[FlowId, Search] = field(factory=dict)
     parked: dict[FlowId, Offer] = field(factory=dict)
+    finder: Finder = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.finder = Finder(self.fleet, self._settle, self._give_up)
+
+    @property
+    def searches(self) -> dict[FlowId, Search]:
+        """Return the searches under way."""
+        return self.finder.searches
 
     def is_waiting(self) -> bool:
         """Tell whether anything is due soon."""
@@ -94,13 +98,8 @@
         flow = segment.flow_from_caller()
         member = self.fleet.find_at(sender)
         name = member.identity.name if member is not None else ""
-        search = self.searches.get(flow)
-        if search is not None:
-            if search.probing != name:
-                return []
-            search.probing = ""
-            search.asked[name] = Holding.NO
-            return self._advance(search, now)
+        if flow in self.searches:
+            return self.finder.handle_return(flow, name, now)
         if segment.opens:
             closed = segment.mark.purpose is not Purpose.NO_ROOM
             return self._offer_elsewhere(flow, name, closed, now)
@@ -121,14 +120,7 @@
             if offer.agent == name:
                 offer.delivered = True
             return []
-        search = self.searches.get(flow)
-        if search is None or name not in search.asked:
-            return []
-        if body.holding in (Holding.YES, Holding.HALF_OPEN):
-            return self._settle(search, name, body.holding, now)
-        if search.asked[name] is None:
-            search.asked[name] = body.holding
-        return self._advance(search, now)
+        return self.finder.handle_located(name, body, now)
 
     def tick(self, now: float) -> Effects:
         """Return what is due: offers and searches that were not answered."""
@@ -142,9 +134,7 @@
                 if self.fleet.note_unanswered(offer.agent, now):
                     effects.append(Note("agent-unanswered", {"agent": offer.agent}))
                 effects += self._offer_elsewhere(flow, offer.agent, True, now)
-        for search in list(self.searches.values()):
-            if now >= search.next_ask:
-                effects += self._ask_again(search, now)
+        effects += self.finder.tick(now)
         # A few at a time, the oldest first: what becomes of them tells whether there is room.
         oldest = heapq.nsmallest(
             PARKED_PER_TICK, self.parked.items(), key=lambda item: item[1].parked_at or now
@@ -272,102 +262,39 @@
 
     def _search(self, segment: Segment, flow: FlowId, now: float, exclude: str = "") -> Effects:
         services = self.book.list_services(flow)
-        if not services:
-            if self.book.rules.version == 0:
-                return [Note("packet-dropped", {"flow": format_flow(flow), "reason": "no-rules"})]
-            return [
-                Note("flow-reset", {"flow": format_flow(flow), "reason": "no-route"}),
-                Reset(segment),
-            ]
-        if len(self.searches) >= SEARCHES_LIMIT:
-            return [Note("packet-dropped", {"flow": format_flow(flow), "reason": "searches-full"})]
-        asked: dict[str, Holding | None] = {
-            member.identity.name: None
-            for member in self.fleet.list_agents(services)
-            if member.identity.name != exclude and not self.fleet.is_gone(member, now)
-        }
-        search = Search(flow, services, asked, now, now + ASK_INTERVAL_S)
-        search.keep(segment)
-        self.searches[flow] = search
-        if not asked:
-            return self._advance(search, now)
-        return self._ask(search, list(asked))
-
-    def _ask(self, search: Search, names: list[str]) -> Effects:
-        effects: Effects = []
-        for name in names:
-            member = self.fleet.find(name)
-            if member is not None:
-                body = Locate(search.flow, member.identity.service)
-                effects.append(Tell(member.identity.address, body))
-        return effects
-
-    def _ask_again(self, search: Search, now: float) -> Effects:
-        search.next_ask = now + ASK_INTERVAL_S
-        if search.asks < ASK_LIMIT and not search.probing:
-            search.asks += 1
-            return self._ask(search, search.list_silent())
-        if search.probing:
-            search.asked[search.probing] = None
-            search.probing = ""
-            if search.next_unsure() is not None:
-                return self._advance(search, now)
-        elif search.next_unsure() is not None:
-            return self._probe(search)
-        return self._conclude(search, now)
-
-    def _advance(self, search: Search, now: float) -> Effects:
-        if search.list_silent() and search.asks < ASK_LIMIT:
-            return []
-        if search.probing:
-            return []
-        if search.next_unsure() is not None:
-            return self._probe(search)
-        return self._conclude(search, now)
-
-    def _probe(self, search: Search) -> Effects:
-        name = search.next_unsure()
-        segment = search.segments[0]
-        member = None if name is None else self.fleet.find(name)
-        if name is None or member is None:
-            return []
-        search.probing = name
-        search.probed.add(name)
-        return [self._hand(segment, member, member.identity.service, Purpose.PROBE)]
-
-    def _settle(self, search: Search, name: str, holding: Holding, now: float) -> Effects:
-        member = self.fleet.find(name)
-        if member is None:
-            return []
-        del self.searches[search.flow]
-        self._remember(search.flow, name, member.identity.service, now)
-        segments = search.segments
-        if name == search.probing:
-            segments = segments[1:]
+        if services:
+            return self.finder.start(flow, services, segment, exclude, now)
+        if self.book.rules.version == 0:
+            return [Note("packet-dropped", {"flow": format_flow(flow), "reason": "no-rules"})]
+        fields = {"flow": format_flow(flow), "reason": "no-route"}
+        return [Note("flow-reset", fields), Reset(segment)]
+
+    def _settle(self, search: Search, member: Member, holding: Holding, now: float) -> Effects:
+        name, service = member.identity.name, member.identity.service
+        self._remember(search.flow, name, service, now)
         fields = {
             "flow": format_flow(search.flow),
             "agent": name,
             "holding": holding.name.lower(),
             "took_ms": round((now - search.started) * 1000),
         }
-        found: Effects = [Note("flow-found", fields)]
-        return found + [
-            self._hand(segment, member, member.identity.service, Purpose.DELIVER)
-            for segment in segments
-        ]
+        effects: Effects = [Note("flow-found", fields)]
+        # The agent that is being tried has the first packet already.
+        segments = search.segments[1:] if name == search.probing else search.segments
+        effects += [self._hand(item, member, service, Purpose.DELIVER) for item in segments]
+        return effects
 
-    def _conclude(self, search: Search, now: float) -> Effects:
-        del self.searches[search.flow]
+    def _give_up(self, search: Search, now: float) -> Effects:
         segment = search.segments[-1]
-        silent = search.list_silent()
-        openings = [item for item in search.segments if item.opens]
-        if len(openings) == len(search.segments):
+        silent = [name for name in search.list_silent() if name not in search.gone]
+        if search.opens_only():
             service = self.book.find_service(search.flow)
             if service is not None:
                 return self._place(segment, search.flow, service, set(silent), now)
         fields = {
             "flow": format_flow(search.flow),
             "silent": silent,
+            "gone": sorted(search.gone),
             "asked": len(search.asked),
             "packet": segment.describe(),
             "took_ms": round((now - search.started) * 1000),
--- a/packages/fescueseam/src/fescueseam/steering/members.py
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import heapq
 import math
 from collections.abc import Iterable
 from enum import StrEnum
@@ -89,6 +90,18 @@
     """Prefer others before this time, because every slot was busy a moment ago."""
     closed_until: float = 0.0
     """Offer it no new flow before this time, because it has just turned one down for good."""
+    reported_to_at: float = -math.inf
+    """Hold when this process last sent it a report."""
+    noted_gone: bool = False
+    """Tell that it was said to be gone, so that each change is said once."""
+
+    def is_alone(self) -> bool:
+        """Tell whether no backend server was beside it when it was last heard."""
+        return self.load.availability in (Availability.UNKNOWN, Availability.LEFT)
+
+    def was_beside_server(self) -> bool:
+        """Tell whether a backend server was beside it when it was last heard."""
+        return self.heard_at != -math.inf and not self.is_alone()
 
 
 @define
@@ -97,6 +110,9 @@
 
     own: Identity
     members: dict[str, Member] = field(factory=dict)
+    _by_address: dict[int, Member] = field(factory=dict)
+    _agents: dict[str, tuple[Member, ...]] = field(factory=dict)
+    """Hold the agents of each service by name; empty until it is asked for."""
 
     def note_listed(self, identity: Identity, now: float) -> bool:
         """Take a member from a list; return whether it is new here."""
@@ -107,10 +123,8 @@
             return False
         if known is not None and known.heard_at > now - GONE_AFTER_S:
             return False
-        if any(
-            member.identity.address == identity.address and member.heard_at > now - GONE_AFTER_S
-            for member in self.members.values()
-        ):
+        holder = self.find_at(identity.address)
+        if holder is not None and holder.heard_at > now - GONE_AFTER_S:
             return False
         self._add(identity, now)
         return True
@@ -127,7 +141,9 @@
                 known.load.availability,
                 known.load.leaving,
             ) != (load.availability, load.leaving)
-            known.identity = identity
+            if known.identity != identity:
+                known.identity = identity
+                self._agents.clear()
         else:
             known = self._add(identity, now)
             changed = True
@@ -159,20 +175,13 @@
 
     def find_at(self, address: int) -> Member | None:
         """Return the member at an address."""
-        for member in self.members.values():
-            if member.identity.address == address:
-                return member
-        return None
+        return self._by_address.get(address)
 
     def list_agents(self, services: Iterable[str]) -> list[Member]:
-        """Return the agents of services, by name."""
-        wanted = set(services)
-        found = [
-            member
-            for member in self.members.values()
-            if member.identity.role is Role.AGENT and member.identity.service in wanted
-        ]
-        return sorted(found, key=lambda member: member.identity.name)
+        """Return the agents of services, by name within each."""
+        if not self._agents:
+            self._agents = self._group_agents()
+        return [member for name in dict.fromkeys(services) for member in self._agents.get(name, ())]
 
     def list_balancers(self) -> list[Member]:
         """Return the balancers."""
@@ -182,9 +191,28 @@
         """Tell whether a member has been unheard for too long to hold flows."""
         if member.heard_at == -math.inf:
             return now - member.listed_at >= UNHEARD_AFTER_S
-        # An agent that fell silent before it had heard of a server stands beside none.
-        alone = member.load.availability in (Availability.UNKNOWN, Availability.LEFT)
-        return now - member.heard_at >= (UNHEARD_AFTER_S if alone else GONE_AFTER_S)
+        return now - member.heard_at >= (UNHEARD_AFTER_S if member.is_alone() else GONE_AFTER_S)
+
+    def list_presence_changes(self, now: float) -> list[Member]:
+        """Return the members that are gone or back since the last call."""
+        changed = []
+        for member in self.members.values():
+            gone = self.is_gone(member, now)
+            if gone is not member.noted_gone:
+                member.noted_gone = gone
+                changed.append(member)
+        return changed
+
+    def list_due_reports(self, interval_s: float, elapsed_s: float, now: float) -> list[Member]:
+        """Return the members that get a report now, so that each gets one an interval.
+
+        Sent all at once, the last reports are lost on a narrow link, always to the same members.
+        """
+        share = math.ceil(len(self.members) * min(1.0, elapsed_s / interval_s))
+        due = heapq.nsmallest(share, self.members.values(), key=lambda item: item.reported_to_at)
+        # Half an elapsed span of slack keeps a member from missing its turn by a late timer.
+        latest = now - interval_s + elapsed_s / 2
+        return [member for member in due if member.reported_to_at <= latest]
 
     def forget_lost(self, now: float) -> list[Identity]:
         """Forget the members unheard for very long; return them."""
@@ -194,17 +222,31 @@
             if now - max(item.heard_at, item.listed_at) >= FORGET_AFTER_S
         ]
         for member in lost:
-            del self.members[member.identity.name]
+            self._remove(member)
         return [member.identity for member in lost]
 
     def _add(self, identity: Identity, now: float) -> Member:
         # An address belongs to one process at a time; the newest holder replaces earlier ones.
-        for name, member in list(self.members.items()):
-            if member.identity.address == identity.address:
-                del self.members[name]
-        member = self.members[identity.name] = Member(identity, now)
+        for earlier in (self.find_at(identity.address), self.members.get(identity.name)):
+            if earlier is not None:
+                self._remove(earlier)
+        member = Member(identity, now)
+        self.members[identity.name] = self._by_address[identity.address] = member
+        self._agents.clear()
         return member
 
+    def _remove(self, member: Member) -> None:
+        self.members.pop(member.identity.name, None)
+        self._by_address.pop(member.identity.address, None)
+        self._agents.clear()
+
+    def _group_agents(self) -> dict[str, tuple[Member, ...]]:
+        groups: dict[str, list[Member]] = {}
+        for member in sorted(self.members.values(), key=lambda item: item.identity.name):
+            if member.identity.role is Role.AGENT:
+                groups.setdefault(member.identity.service, []).append(member)
+        return {service: tuple(group) for service, group in groups.items()}
+
 
 @functools.lru_cache(maxsize=4096)
 def compute_tag(service: str) -> int:
--- a/packages/fescueseam/src/fescueseam/steering/rules.py
+++ b/packages/fescueseam/src/fescueseam/steering/rules.py
@@ -63,7 +63,6 @@
     rules: Rules = field(factory=Rules)
     outage: Outage = field(factory=Outage)
     _routes: dict[tuple[int, int], Route] = field(factory=dict)
-    _services: dict[str, ServiceRules] = field(factory=dict)
 
     def take_rules(self, rules: Rules) -> bool:
         """Take a configuration if it is newer; return whether it was."""
@@ -71,7 +70,6 @@
             return False
         self.rules = rules
         self._routes = {(route.address, route.port): route for route in rules.routes}
-        self._services = {service.name: service for service in rules.services}
         return True
 
     def is_complete(self) -> bool:
@@ -112,8 +110,3 @@
         """Return every service that may hold a flow."""
         route = self.find_route(flow)
         return () if route is None else tuple(share.service for share in route.shares)
-
-    def find_cold_bound(self, service: str) -> float:
-        """Return the openings a second that a cold backend server of a service bears."""
-        found = self._services.get(service)
-        return 0.0 if found is None else found.cold_openings_per_s
--- a/packages/fescueseam/src/fescueseam/steering/searches.py
+++ b/packages/fescueseam/src/fescueseam/steering/searches.py
@@ -25,11 +25,12 @@
     """Hold the answer of each agent by name; None until it comes."""
     started: float
     next_ask: float
+    gone: frozenset[str] = frozenset()
+    """Name the agents that were asked although they are taken for gone: reports may be lost."""
     asks: int = 1
     probing: str = ""
     """Name the agent that is being tried with the packet itself."""
     probed: set[str] = field(factory=set)
-    excluded: set[str] = field(factory=set)
     segments: list[Segment] = field(factory=list)
 
     def keep(self, segment: Segment) -> None:
@@ -47,3 +48,7 @@
             if holding is Holding.UNSURE and name not in self.probed:
                 return name
         return None
+
+    def opens_only(self) -> bool:
+        """Tell whether every packet kept is an opening one."""
+        return all(segment.opens for segment in self.segments)
--- a/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
@@ -10,7 +10,7 @@
 from fescueseam.steering.agent import Agent
 from fescueseam.steering.backend import Backend, Heartbeat
 from fescueseam.steering.balancer import Balancer
-from fescueseam.steering.effects import Answer, Deliver, Effects, Hand, Note, Reset, Tell
+from fescueseam.steering.effects import Answer, Deliver, Effects, Hand, Note, Observe, Reset, Tell
 from fescueseam.steering.members import Availability, Fleet, Identity, Load, Role
 from fescueseam.steering.notices import Locate, Located, Report
 from fescueseam.steering.rules import Outage, Route, RuleBook, Rules, ServiceRules, Share
@@ -79,8 +79,11 @@
     resets: list[FlowId] = field(factory=list)
     answers: defaultdict[FlowId, int] = field(factory=lambda: defaultdict(int))
     notes: list[Note] = field(factory=list)
+    observed: list[Observe] = field(factory=list)
     cut: set[int] = field(factory=set)
     """Name the addresses that neither send nor get anything."""
+    lost_reports: set[tuple[int, int]] = field(factory=set)
+    """Name sender and receiver of the reports that are lost; other notices arrive."""
     rules: Rules = RULES
     _count: int = 0
     _sequence: int = 0
@@ -170,6 +173,8 @@
         for effect in effects:
             if isinstance(effect, Note):
                 self.notes.append(effect)
+            elif isinstance(effect, Observe):
+                self.observed.append(effect)
             elif address in self.cut:
                 continue
             elif isinstance(effect, Hand):
@@ -227,6 +232,8 @@
             core = self.nodes.get(address)
             if core is None or address in self.cut or sender in self.cut:
                 return
+            if isinstance(body, Report) and (sender, address) in self.lost_reports:
+                return
             if isinstance(body, Report):
                 core.fleet.note_report(body.identity, body.load, sequence, self.now)
                 if isinstance(core, Agent):
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_flows_survive.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_flows_survive.py
@@ -158,3 +158,24 @@
     opened.request(flow, balancer=1)
     opened.run(0.01)
     assert opened.resets == []
+
+
+def test_a_flow_whose_agents_reports_are_lost_is_found(opened: Mesh) -> None:
+    flow = flow_number(0)
+    home = opened.find_home(flow)
+    assert home is not None
+    opened.lost_reports.add((home, 1))
+    opened.run(GONE_AFTER_S + 1.0)
+    assert opened.nodes[1].fleet.is_gone(opened.nodes[1].fleet.find_at(home), opened.now)
+    opened.request(flow, balancer=1)
+    opened.run(0.3)
+    assert opened.resets == []
+    assert opened.backends[home].served == 1
+
+
+def test_an_opening_packet_does_not_wait_for_an_agent_that_is_gone(mesh: Mesh) -> None:
+    mesh.cut.add(13)
+    mesh.run(GONE_AFTER_S + 1.0)
+    mesh.send(build_opening(flow_number(0), attempt=1), 1)
+    mesh.run(0.05)
+    assert sum(len(backend.openings) for backend in mesh.backends.values()) == 1
--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_members.py
@@ -0,0 +1,85 @@
+"""Load pattern: many members report over narrow links."""
+
+import itertools
+import math
+
+from fescueseam.steering.members import (
+    GONE_AFTER_S,
+    Availability,
+    Fleet,
+    Identity,
+    Load,
+    Role,
+)
+from fescueseam.steering.tests.conftest import ALERTS, INTAKE, Mesh, build_opening, flow_number
+
+INTERVAL_S, STEP_S = 0.5, 0.05
+
+
+def build_fleet(count: int) -> Fleet:
+    fleet = Fleet(Identity("own", Role.BALANCER, 1, "a"))
+    for number in range(count):
+        name = f"agent-{number:03}"
+        service = ALERTS if number % 2 else INTAKE
+        fleet.note_listed(Identity(name, Role.AGENT, 100 + number, "a", service), 0.0)
+    return fleet
+
+
+def test_reports_are_spread_evenly_over_the_interval() -> None:
+    fleet = build_fleet(64)
+    sent: dict[str, list[float]] = {name: [] for name in fleet.members}
+    for step in range(60):
+        now = step * STEP_S * 1.02
+        due = fleet.list_due_reports(INTERVAL_S, STEP_S, now)
+        assert len(due) <= math.ceil(64 * STEP_S / INTERVAL_S)
+        for member in due:
+            member.reported_to_at = now
+            sent[member.identity.name].append(now)
+    for times in sent.values():
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        assert max(gaps) <= INTERVAL_S + 2 * STEP_S
+
+
+def test_a_single_member_is_not_reported_to_more_often_than_the_interval() -> None:
+    fleet = build_fleet(1)
+    times = []
+    for step in range(100):
+        for member in fleet.list_due_reports(INTERVAL_S, STEP_S, step * STEP_S):
+            member.reported_to_at = step * STEP_S
+            times.append(step * STEP_S)
+    assert len(times) in (10, 11)
+
+
+def test_agents_are_found_by_service_and_address_through_changes() -> None:
+    fleet = build_fleet(6)
+    assert [item.identity.address for item in fleet.list_agents((ALERTS,))] == [101, 103, 105]
+    moved = Identity("agent-001", Role.AGENT, 101, "a", INTAKE, 7)
+    fleet.note_report(moved, Load(Availability.READY), 1, 1.0)
+    assert [item.identity.address for item in fleet.list_agents((ALERTS,))] == [103, 105]
+    heir = Identity("heir", Role.AGENT, 103, "a", ALERTS, 8)
+    fleet.note_report(heir, Load(Availability.READY), 1, 2.0)
+    assert fleet.find("agent-003") is None
+    assert [item.identity.name for item in fleet.list_agents((ALERTS,))] == ["agent-005", "heir"]
+    elsewhere = Identity("heir", Role.AGENT, 200, "a", ALERTS, 9)
+    fleet.note_report(elsewhere, Load(Availability.READY), 1, 3.0)
+    assert fleet.find_at(103) is None
+    assert fleet.find_at(200) is fleet.find("heir")
+
+
+def test_a_member_is_said_to_be_gone_once_and_back_once() -> None:
+    fleet = build_fleet(1)
+    who = fleet.members["agent-000"].identity
+    fleet.note_report(who, Load(Availability.READY), 1, 0.0)
+    assert fleet.list_presence_changes(1.0) == []
+    gone = fleet.list_presence_changes(GONE_AFTER_S)
+    assert [(item.identity.name, item.noted_gone) for item in gone] == [("agent-000", True)]
+    assert fleet.list_presence_changes(GONE_AFTER_S + 1.0) == []
+    fleet.note_heard("agent-000", GONE_AFTER_S + 1.0)
+    assert [item.noted_gone for item in fleet.list_presence_changes(GONE_AFTER_S + 1.0)] == [False]
+
+
+def test_the_time_to_the_servers_answer_is_observed(mesh: Mesh) -> None:
+    mesh.send(build_opening(flow_number(0)), 1)
+    mesh.run(0.05)
+    observed = [item for item in mesh.observed if item.measure == "opening_seconds"]
+    assert [round(item.value, 6) for item in observed] == [0.0001]
