Keep a lease only while the data centre is in touch with another one

Cause of the known red `data-centre-out-alone`: an agent's lease ran on while anybody answered it. In a data centre that was cut off as a whole its own balancer did, so it went on delivering after operators had taken the data centre out.

Change: an answer from another data centre counts as contact, one from within only by the age of its sender's own contact, which each message states; so does a read of the store.

--- a/packages/fescueseam/src/fescueseam/messages/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/messages/schema.capnp
@@ -27,6 +27,7 @@
     gossipValues @19 :GossipValues;
     gossipKeys @20 :GossipKeys;
   }
+  contactAgeS @21 :Float32 = inf;
 }
 
 struct Flow {
