--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 DEPLOYMENT ?= ribera-norte
+SOAK_SEEDS ?= 4
 PACKAGES := packages/fescueseam packages/fescueseam-daemon packages/fescueseam-cli packages/fescueseam-standins
 SOURCES := $(wildcard packages/*/src) platform
 
@@ -42,6 +43,7 @@
 
 soak: install
 	SEED=$(SEED) SOAK=1 $(BIN)/pytest -k soak
+	cd platform && ../$(BIN)/python -m fescueseam_platform.tests.soak --first $(SEED) --count $(SOAK_SEEDS) --shards 2
 
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
@@ -194,7 +194,7 @@
                 await self.wait_for_store(exc)
                 continue
             self.store_link.note_reached(trio.current_time())
-            self.note("member-registered", {"address": self.settings.address})
+            self.note("member-registered", {"address": self.settings.advertised})
             return
 
     async def list_members(self, stale: bool) -> list[Identity]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/running.py
@@ -17,6 +17,7 @@
 from fescueseam_daemon.steering.settings import SteeringSettings, load_settings
 
 INCARNATION_BITS = 63
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def run_process(path: Path, surroundings: Surroundings) -> None:
@@ -34,7 +35,7 @@
     own = Identity(
         settings.instance,
         settings.role,
-        parse_address(settings.address),
+        parse_address(settings.advertised),
         settings.data_centre,
         settings.service,
         rng.getrandbits(INCARNATION_BITS),
@@ -44,7 +45,9 @@
     process = AgentProcess(node) if settings.role is Role.AGENT else BalancerProcess(node)
     fields = {"role": settings.role.value, "incarnation": own.incarnation}
     node.note("started", {**fields, "address": settings.address, "service": settings.service})
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        # The program may have kept some waiting until now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(process.run)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/settings.py
@@ -38,6 +38,8 @@
     role: Role
     data_centre: str
     address: str
+    advertised: str
+    """Name this address to the other processes; it leads to the bound one."""
     peer_port: int
     """Begin the ports for processes among themselves here; they are the same everywhere."""
     packets: Listener
@@ -61,6 +63,7 @@
     "role": (str,),
     "data_centre": (str,),
     "address": (str,),
+    "advertised": (str,),
     "peer_port": (int,),
     "peer_port_last": (int,),
     "packets": (str,),
@@ -76,7 +79,7 @@
     "log_lines_per_s": (int, float),
 }
 """List every key with its types."""
-OPTIONAL = {"heartbeats", "answers", "backend", "service", "seeds", "log_lines_per_s"}
+OPTIONAL = {"advertised", "heartbeats", "answers", "backend", "service", "seeds", "log_lines_per_s"}
 LISTENERS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 FOR_AGENTS = ("heartbeats", "answers", "backend", "service")
 
@@ -130,7 +133,7 @@
 def _check_value(key: str, value: Any, name: str) -> Iterator[Fault]:
     if key == "role" and value not in {item.value for item in Role}:
         yield Fault(FaultId.UNKNOWN_CHOICE, key, f"{value!r}", "balancer or agent", name)
-    if key == "address":
+    if key in ("address", "advertised"):
         yield from _check(parse_address, key, value, FaultId.BAD_ADDRESS, name)
     if key in LISTENERS and value:
         yield from _check(parse_listener, key, value, FaultId.BAD_ADDRESS, name)
@@ -174,6 +177,7 @@
         role=Role(values["role"]),
         data_centre=values["data_centre"],
         address=values["address"],
+        advertised=values.get("advertised") or values["address"],
         peer_port=values["peer_port"],
         packets=packets,
         readiness=readiness,
