Revert "Keep a lease only while the data centre is in touch with another one"

Cause of the revert: the real-process test of the control plane fails with it. When one of two balancers dies while the store is away, the one that is left is out of touch with every other data centre's balancer, so the agents beside it lose their lease although callers could be served.

Ruled out: a longer lease (the balancer that is left never has contact again).

Conclusion: a data centre needs proof of contact from agents elsewhere as well, which the messages do not carry yet.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/balancer_node.py
@@ -40,11 +40,6 @@
 MERGE_INTERVAL_S = 0.25
 MISSING_SUSPECT_S = 2.5
 """Suspect a listed member that no keeper has reported on for this time."""
-FAR_KEEPERS = 2
-"""Announce to one balancer elsewhere, and to the next one while an answer is late."""
-FAR_PERIOD_S = 0.5
-"""Announce to a balancer elsewhere once in this time: with its retry, and an agent's period and
-retry, it fits into the lease."""
 STAND_INS = 3
 """Count the balancers that may write the same object, by rank."""
 WATCHERS = 2
@@ -133,19 +128,14 @@
 
     def _choose_keepers(self, now: float) -> Keepers:
         near = super()._choose_keepers(now)
-        # A keeper elsewhere lets other data centres see this one, and keeps the leases here.
+        # One keeper elsewhere lets the other data centres see this one.
         own = self.settings
         others = [
             peer for peer in self.book.list_usable(now) if peer.data_centre != own.data_centre
         ]
         far = {peer.name: peer for peer in others if peer not in near.first}
-        chosen = [far[name] for name in choose_keepers(own.name, far, FAR_KEEPERS)]
-        stand_ins = (*near.stand_ins, *chosen[1:])
-        return evolve(near, first=(*near.first, *chosen[:1]), stand_ins=stand_ins)
-
-    def _find_period(self, keeper: Peer, is_late: bool) -> float:
-        is_far = keeper.data_centre not in ("", self.settings.data_centre)
-        return FAR_PERIOD_S if is_far else super()._find_period(keeper, is_late)
+        chosen = choose_keepers(own.name, far, 1)
+        return evolve(near, first=(*near.first, *(far[name] for name in chosen)))
 
     def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
         facts = self._read_facts(message, body)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -21,7 +21,7 @@
 from fescueseam_daemon.control.agent_node import AgentNode
 from fescueseam_daemon.control.balancer_node import BalancerNode
 from fescueseam_daemon.control.directory import Directory, read_directory
-from fescueseam_daemon.control.node import LEASE_S, ControlNode
+from fescueseam_daemon.control.node import ControlNode
 from fescueseam_daemon.control.store import HttpStore
 from fescueseam_daemon.control.tables import TableSet, TableStep
 
@@ -31,8 +31,6 @@
 """Bound the wait before a watch is tried again; few hold one, and a change must be seen in time."""
 RETURN_SPREAD_S = 5.0
 """Spread the first writes over this time once the store answers again, in seconds."""
-CONTACT_POLL_S = 0.5
-"""Read the configuration this often while no other data centre answers; the lease is longer."""
 LONE_POLL_S = 20.0
 """Read the configuration this often, in the mean, while no other balancer answers."""
 POLL_S = 600.0
@@ -139,9 +137,8 @@
 
     async def read_configuration(self) -> None:
         """Read the configuration once."""
-        called_at = time.monotonic()
         stored = await self.store.get(CONFIGURATION_KEY)
-        self.node.note_store_read(called_at)
+        self.node.gossip.note_store_read()
         if stored is not None:
             self.take_object(stored)
 
@@ -207,14 +204,7 @@
 
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the loops of the role."""
-        return [
-            self._tick,
-            self._watch,
-            self._keep_contact,
-            self._poll,
-            self._keep_tables,
-            self._keep_directory,
-        ]
+        return [self._tick, self._watch, self._poll, self._keep_tables, self._keep_directory]
 
     def describe_status(self) -> dict[str, object]:
         """Return the part of the status page on control."""
@@ -264,13 +254,6 @@
             # A store brought back from a copy counts from a lower revision.
             after = max(changes.revision, 1)
 
-    async def _keep_contact(self) -> None:
-        # While no other data centre answers, only the store can tell that this one is out.
-        while True:
-            await trio.sleep(CONTACT_POLL_S)
-            if self.node.contact.find_age(time.monotonic()) > LEASE_S / 2:
-                await self.retry(self.read_configuration, attempts=1)
-
     async def _poll(self) -> None:
         polled_at = trio.current_time()
         while True:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/node.py
@@ -9,7 +9,6 @@
 from fescueseam.conf.models import Configuration, ProcessSettings
 from fescueseam.effects import Send
 from fescueseam.exceptions import StoreError
-from fescueseam.membership.contact import Contact
 from fescueseam.membership.facts import ProcessFacts
 from fescueseam.membership.peers import PeerBook
 from fescueseam.messages.types import (
@@ -29,9 +28,8 @@
 from fescueseam.versions.pages import pack_values
 from fescueseam.versions.values import VersionedMap, VersionedValue
 
-LEASE_S = 2.5
-"""Deliver nothing once the data centre was out of touch with all others for this time; the last
-packet has to be within 3 s."""
+LEASE_S = 2.0
+"""Deliver nothing once no other process was heard for this time."""
 ANNOUNCE_PERIOD_S = 1.0
 """Announce to the first keeper once in this time."""
 RETRY_S = 0.35
@@ -59,8 +57,8 @@
 class Clocks:
     """Hold when something was last done or heard."""
 
-    now: float = float("-inf")
-    """Hold the time of the latest event."""
+    lease_from: float = float("-inf")
+    """Hold when the latest heartbeat that was answered had been sent."""
     keepers_at: float = float("-inf")
     announce_at: dict[Peer, float] = field(factory=dict)
     """Map each keeper to the latest announcement to it."""
@@ -98,7 +96,6 @@
         """Count values that could not be read and had no effect."""
         self.seeds = [_parse_seed(seed) for seed in settings.seeds]
         self.gossip = self._make_gossip(rng, now)
-        self.contact = Contact(settings.data_centre, settings.region)
         self.rng = rng
         self._started_at = now
         self._clocks = Clocks()
@@ -109,12 +106,12 @@
     # What the packet loops use
 
     def hears_peers(self, now: float) -> bool:
-        """Tell whether the own data centre was in touch with anything outside it within the lease.
+        """Tell whether an answer came to a heartbeat that was sent within the lease.
 
         Answers that a paused process finds in its queue on waking belong to old heartbeats
         and renew nothing.
         """
-        return self.contact.find_age(now) <= LEASE_S
+        return now - self._clocks.lease_from <= LEASE_S
 
     def is_current(self, now: float) -> bool:
         """Tell whether the configuration was compared with peers or, alone, with the store."""
@@ -122,7 +119,6 @@
 
     def handle(self, message: Message, now: float) -> list[Send] | None:
         """Return the answers to a control message; None for a message of the packet path."""
-        self._clocks.now = now
         self.book.note_heard(message.sender, now)
         sends = self._dispatch(message, now)
         handled = sends is not None
@@ -135,7 +131,6 @@
 
     def tick(self, now: float) -> list[Send]:
         """Return what is due now."""
-        self._clocks.now = now
         later, self._later = self._later, []
         return [*later, *self._announce(now), *self._settle(now)]
 
@@ -151,9 +146,6 @@
         )
         return Keepers(tuple(chosen[:1]), tuple(chosen[1:]))
 
-    def _find_period(self, keeper: Peer, is_late: bool) -> float:
-        return RETRY_S if is_late else ANNOUNCE_PERIOD_S
-
     def _on_announce(self, message: Message, body: Announce, now: float) -> list[Send]:
         return []
 
@@ -171,11 +163,11 @@
             case Announce():
                 return self._on_announce(message, body, now)
             case AnnounceAnswer():
-                for peer in body.peers:
-                    self.book.learn(peer)
-                self._renew_lease(message, body.heartbeat)
+                self._renew_lease(body.heartbeat)
                 # An agent exchanges no digests; its keepers' versions are what it compares with.
                 self.gossip.note_peer_version(message.config_version)
+                for peer in body.peers:
+                    self.book.learn(peer)
                 return []
             case GossipDigest():
                 return self._reply(message, self.gossip.on_digest(body))
@@ -205,7 +197,6 @@
             service=service,
             epoch=table.epoch if table is not None else 0,
             config_version=self.gossip.configuration.version,
-            contact_age_s=self.contact.find_age(self._clocks.now),
         )
         return Send(peer.address, peer.control_port, message)
 
@@ -248,7 +239,8 @@
 
     def _is_due(self, keeper: Peer, now: float) -> bool:
         since_s = now - self._clocks.announce_at[keeper]
-        return since_s >= self._find_period(keeper, self.book.is_late(keeper.name, now, RETRY_S))
+        is_late = self.book.is_late(keeper.name, now, RETRY_S)
+        return since_s >= (RETRY_S if is_late else ANNOUNCE_PERIOD_S)
 
     def _announce_to(self, keeper: Peer, now: float) -> Send:
         self._clocks.announce_at[keeper] = now
@@ -274,14 +266,10 @@
             load=self.own.load,
         )
 
-    def _renew_lease(self, message: Message, heartbeat: int) -> None:
+    def _renew_lease(self, heartbeat: int) -> None:
         sent_at = self._clocks.sent.pop(heartbeat, None)
         if sent_at is not None:
-            peer = self.find_peer(message.sender)
-            data_centre = "" if peer is None else peer.data_centre
-            self.contact.note_answer(
-                sent_at, data_centre, message.contact_age_s, self.gossip.configuration
-            )
+            self._clocks.lease_from = max(self._clocks.lease_from, sent_at)
 
     # Versions
 
@@ -333,11 +321,6 @@
 
     # What the store loops use
 
-    def note_store_read(self, called_at: float) -> None:
-        """Note that the store has answered a read of the configuration that began at a time."""
-        self.gossip.note_store_read()
-        self.contact.note_store(called_at)
-
     def take_configuration(self, cfg: Configuration, writer: str) -> None:
         """Take the configuration that the store holds."""
         self.gossip.note_store_read()
--- a/packages/fescueseam/src/fescueseam/exceptions.py
+++ b/packages/fescueseam/src/fescueseam/exceptions.py
@@ -81,9 +81,7 @@
         Answer.SILENCE, 1, "It is unknown whether the flow was delivered."
     ),
     ErrorKind.DATA_CENTRE_OUT: KindRow(Answer.SILENCE, 1, "The data centre is out of service."),
-    ErrorKind.LEASE_LAPSED: KindRow(
-        Answer.SILENCE, 1, "The data centre was out of touch for longer than the lease."
-    ),
+    ErrorKind.LEASE_LAPSED: KindRow(Answer.SILENCE, 1, "No peer was heard within the lease."),
     ErrorKind.TABLE_FULL: KindRow(Answer.SILENCE, 1, "A bounded table has no room left."),
     ErrorKind.DUPLICATE_OPENING: KindRow(
         Answer.SILENCE, 1, "The opening packet was handled before."
--- a/packages/fescueseam/src/fescueseam/messages/codec.py
+++ b/packages/fescueseam/src/fescueseam/messages/codec.py
@@ -96,7 +96,6 @@
         className=message.class_name,
         epoch=message.epoch,
         configVersion=message.config_version,
-        contactAgeS=message.contact_age_s,
     )
     _WRITERS[type(message.body)](raw.body, message.body)
     # Packing costs time that packets must not lose; control has bytes to save instead.
@@ -127,7 +126,6 @@
         class_name=raw.className,
         epoch=raw.epoch,
         config_version=raw.configVersion,
-        contact_age_s=raw.contactAgeS,
         body=_READERS[which](getattr(raw.body, which), opened.packet),
     )
 
--- a/packages/fescueseam/src/fescueseam/messages/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/messages/schema.capnp
@@ -27,7 +27,6 @@
     gossipValues @19 :GossipValues;
     gossipKeys @20 :GossipKeys;
   }
-  contactAgeS @21 :Float32 = inf;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/messages/types.py
+++ b/packages/fescueseam/src/fescueseam/messages/types.py
@@ -1,7 +1,5 @@
 """Define the messages between processes as typed values."""
 
-import math
-
 from attrs import field, frozen
 
 from fescueseam.flows.keys import FlowKey
@@ -220,8 +218,6 @@
     class_name: str = ""
     epoch: int = 0
     config_version: int = 0
-    contact_age_s: float = math.inf
-    """Tell how long ago the sender's data centre was in touch with anything outside it."""
 
 
 @frozen(eq=False)
