Choose servers by how their requests end, and bound the reports that a process sends

Change: an agent counts requests that end without an answer or are at work for eight mean service times, fades the count over 3 s and reports the share, which weighs as a delay. An agent sends 28 reports a second at most, a balancer 60, until the interval is 1 s; the silence after which an agent gets no flow follows the interval. With seven balancers and thirty members nothing changes.

Not found by this: a server that answers with an error, since the bytes of an answer are the caller's.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/agent.py
@@ -8,7 +8,7 @@
 from fescueseam.steering.backend import Backend, Verdict
 from fescueseam.steering.members import REPORT_INTERVAL_S, Availability
 from fescueseam.steering.notices import Locate, Report
-from fescueseam_daemon.steering.node import IDLE_TICK_S, Node
+from fescueseam_daemon.steering.node import Node
 from fescueseam_daemon.steering.ports import Farewell
 from fescueseam_daemon.steering.ticker import TICK_S, Ticker
 from fescueseam_daemon.steering.web import Request, Response, answer_readiness, serve_http
@@ -147,8 +147,8 @@
 
     async def _report_often(self) -> None:
         while True:
-            await trio.sleep(min(REPORT_INTERVAL_S, IDLE_TICK_S))
+            await trio.sleep(REPORT_INTERVAL_S)
             now = trio.current_time()
             self.node.carry_out(self.core.tick(now))
-            self.node.carry_out(self.core.report_to_all(now))
+            self.node.carry_out(self.core.report_in_turn(REPORT_INTERVAL_S, now))
             self.node.note_presence(now)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/balancer.py
@@ -25,8 +25,6 @@
     serve_http,
 )
 
-REPORT_EVERY_S = 0.5
-"""Report to every member this often, in seconds."""
 REPORT_STEP_S = 0.05
 """Send a part of the reports this often, in seconds, so that they never fill a narrow link."""
 WATCH_S = 5.0
@@ -260,9 +258,7 @@
     async def _report_in_turn(self) -> None:
         while True:
             await trio.sleep(REPORT_STEP_S)
-            due = self.node.fleet.list_due_reports(
-                REPORT_EVERY_S, REPORT_STEP_S, trio.current_time()
-            )
+            due = self.node.fleet.take_turns(REPORT_STEP_S, trio.current_time())
             if due:
                 self._report(due)
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/steering/node.py
@@ -33,8 +33,8 @@
 """Number the ports for processes among themselves, from the first one."""
 IDLE_TICK_S = 0.25
 """Look after everything else this often, in seconds."""
-HEARD_S = 1.5
-"""Greet nobody who was heard within this time, in seconds: three reports of a balancer."""
+HEARD_S = 2.2
+"""Greet nobody who was heard within this time, in seconds: two of the longest intervals."""
 STORE_BACKOFF_S = 0.25
 STORE_BACKOFF_CAP_S = 2.0
 """Wait at most this long before the store is called again: entries have to be back about two
--- a/packages/fescueseam/src/fescueseam/steering/agent.py
+++ b/packages/fescueseam/src/fescueseam/steering/agent.py
@@ -7,8 +7,9 @@
 
 from fescueseam.steering.backend import Backend, Heartbeat, Verdict
 from fescueseam.steering.effects import Answer, Deliver, Effects, Hand, Note, Observe, Reset, Tell
+from fescueseam.steering.failures import Failures, compute_stuck_after
 from fescueseam.steering.flows import Flow, FlowTable
-from fescueseam.steering.members import Availability, Fleet, Load, compute_tag
+from fescueseam.steering.members import Availability, Fleet, Load, Member, compute_tag
 from fescueseam.steering.notices import Holding, Locate, Located, Report
 from fescueseam.steering.rules import Outage
 from fescueseam.steering.segments import FlowId, Mark, Purpose, Segment, format_flow
@@ -49,6 +50,7 @@
     cold_bounds: dict[str, float] = field(factory=dict)
     rules_version: int = 0
     leaving: bool = False
+    failures: Failures = field(factory=Failures)
     service_time_s: float = 0.0
     utilisation: float = 0.0
     _updated: float = 0.0
@@ -106,10 +108,19 @@
         if not segment.opens:
             entry.is_open = True
         self._note_busy(now)
-        service_time_s = self.flows.note_from_server(flow, entry, segment, now)
-        if service_time_s is not None:
-            self._note_service_time(service_time_s)
-            effects.append(Observe("service_seconds", self.backend.service, service_time_s))
+        end = self.flows.note_from_server(flow, entry, segment, now)
+        if end is not None:
+            self.failures.note_end(not end.answered, now)
+        if end is not None and end.answered:
+            self._note_service_time(end.took_s)
+            effects.append(Observe("service_seconds", self.backend.service, end.took_s))
+        elif end is not None:
+            fields = {
+                "flow": format_flow(flow),
+                "at_work_ms": round(end.took_s * 1000),
+                "failing": round(self.failures.find_share(0, now), 2),
+            }
+            effects.append(Note("request-unanswered", fields))
         if segment.resets:
             entry.caller_finished = entry.server_finished = True
         return effects
@@ -126,6 +137,7 @@
         if verdict is Verdict.STARTED:
             # Flows of the earlier start are known by what the later one returns.
             self.flows.forget_requests()
+            self.failures = Failures()
             fields = {"backend": beat.name, "sequence": beat.sequence}
             effects.append(Note("backend-started", fields))
         after = self.backend.find_availability(now)
@@ -178,6 +190,7 @@
         """Return the load as balancers are told it."""
         self._note_busy(now)
         current = self.backend.current
+        stuck = self.flows.count_stuck(compute_stuck_after(self.service_time_s), now)
         return Load(
             availability=self.backend.find_availability(now),
             busy=self.flows.busy,
@@ -185,6 +198,7 @@
             slots=0 if current is None else current.slots,
             utilisation=self.utilisation,
             service_time_s=self.service_time_s,
+            failing=self.failures.find_share(stuck, now),
             cold=self.backend.warmth.is_cold(now),
             leaving=self.leaving,
         )
@@ -201,12 +215,22 @@
 
     def report_to_all(self, now: float) -> Effects:
         """Report to every balancer that was heard lately."""
-        body = self.build_report(now)
-        return [
-            Tell(member.identity.address, body)
-            for member in self.fleet.list_balancers()
-            if not self.fleet.is_gone(member, now)
+        members = [
+            item for item in self.fleet.list_balancers() if not self.fleet.is_gone(item, now)
         ]
+        for member in members:
+            member.reported_to_at = now
+        return self._report_to(members, now)
+
+    def report_in_turn(self, elapsed_s: float, now: float) -> Effects:
+        """Report to the balancers whose turn it is."""
+        return self._report_to(self.fleet.take_turns(elapsed_s, now), now)
+
+    def _report_to(self, members: list[Member], now: float) -> Effects:
+        if not members:
+            return []
+        body = self.build_report(now)
+        return [Tell(member.identity.address, body) for member in members]
 
     def tick(self, now: float) -> Effects:
         """Return what is due: opening packets that the backend server left unanswered."""
--- a/packages/fescueseam/src/fescueseam/steering/codec.py
+++ b/packages/fescueseam/src/fescueseam/steering/codec.py
@@ -99,6 +99,7 @@
     load.slots = body.load.slots
     load.utilisation = body.load.utilisation
     load.serviceTimeS = body.load.service_time_s
+    load.failing = body.load.failing
     load.cold = body.load.cold
     load.leaving = body.load.leaving
     target.rulesVersion = body.rules_version
@@ -127,6 +128,7 @@
             load.serviceTimeS,
             load.cold,
             load.leaving,
+            load.failing,
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/steering/flows.py
+++ b/packages/fescueseam/src/fescueseam/steering/flows.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fescueseam.steering.segments import SEQUENCE_MODULUS, FlowId, Segment, is_after
 
@@ -41,6 +41,14 @@
         return self.caller_finished and self.server_finished
 
 
+@frozen
+class RequestEnd:
+    """Tell how long a request was at work and whether an answer began."""
+
+    took_s: float
+    answered: bool
+
+
 @define
 class FlowTable:
     """Hold the flows of one backend server, the one used least lately first."""
@@ -92,8 +100,8 @@
 
     def note_from_server(
         self, flow: FlowId, entry: Flow, segment: Segment, now: float
-    ) -> float | None:
-        """Account for the backend server's packet; return a request's service time, if it ends."""
+    ) -> RequestEnd | None:
+        """Account for the backend server's packet; return how a request ended, if one did."""
         entry.used_at = now
         entry.answered = True
         self.flows.move_to_end(flow)
@@ -102,10 +110,18 @@
         ends = segment.data_bytes > 0 or segment.resets or segment.finishes
         if entry.request_at is None or not ends:
             return None
-        service_time_s = now - entry.request_at
+        end = RequestEnd(now - entry.request_at, answered=segment.data_bytes > 0)
         entry.request_at = None
         self.busy -= 1
-        return service_time_s
+        return end
+
+    def count_stuck(self, after_s: float, now: float) -> int:
+        """Return the requests that have been at work for longer than a time."""
+        return sum(
+            1
+            for entry in self.flows.values()
+            if entry.request_at is not None and now - entry.request_at > after_s
+        )
 
     def count_open(self) -> int:
         """Return the number of flows that have not ended."""
--- a/packages/fescueseam/src/fescueseam/steering/members.py
+++ b/packages/fescueseam/src/fescueseam/steering/members.py
@@ -10,11 +10,22 @@
 from attrs import define, field, frozen
 
 REPORT_INTERVAL_S = 0.25
-"""Agents report this often, in seconds; a balancer's view of load is at most this old."""
-QUIET_AFTER_S = 0.8
-"""Give no new flow to an agent unheard for three reports, in seconds."""
-NEIGHBOUR_QUIET_S = 1.2
-"""Ask no balancer unheard for two of its reports for a flow, in seconds."""
+"""An agent reports to each of a few balancers this often, in seconds."""
+BALANCER_INTERVAL_S = 0.5
+"""A balancer reports to each of a few members this often, in seconds."""
+LONGEST_INTERVAL_S = 1.0
+"""Nobody reports less often, in seconds; a member counts as gone after four missed reports."""
+AGENT_REPORTS_PER_S = 28.0
+"""An agent sends no more reports a second, as to seven balancers at the short interval, until the
+longest interval is reached."""
+BALANCER_REPORTS_PER_S = 60.0
+"""A balancer sends no more reports a second, as to thirty members at the short interval, until the
+longest interval is reached."""
+QUIET_REPORTS = 3.2
+"""Give no new flow to an agent after this many intervals without a report: three and a late
+timer."""
+NEIGHBOUR_QUIET_S = 2.2
+"""Ask no balancer unheard for two of its longest intervals for a flow, in seconds."""
 GONE_AFTER_S = 4.0
 """Take a member unheard for this long for gone, in seconds: a restart takes less."""
 UNHEARD_AFTER_S = 2.0
@@ -71,6 +82,8 @@
     cold: bool = False
     leaving: bool = False
     """Tell that the agent itself is about to end."""
+    failing: float = 0.0
+    """Hold the share of the latest requests that got no answer."""
 
 
 @define
@@ -214,16 +227,29 @@
                 changed.append(member)
         return changed
 
-    def list_due_reports(self, interval_s: float, elapsed_s: float, now: float) -> list[Member]:
-        """Return the members that get a report now, so that each gets one an interval.
+    def take_turns(self, elapsed_s: float, now: float) -> list[Member]:
+        """Return the members whose turn it is to get a report, and take it that they do.
 
         Sent all at once, the last reports are lost on a narrow link, always to the same members.
         """
-        share = math.ceil(len(self.members) * min(1.0, elapsed_s / interval_s))
-        due = heapq.nsmallest(share, self.members.values(), key=lambda item: item.reported_to_at)
+        if self.own.role is Role.AGENT:
+            members = [item for item in self.list_balancers() if not self.is_gone(item, now)]
+            interval_s = compute_agent_interval(len(members))
+        else:
+            members = list(self.members.values())
+            interval_s = compute_balancer_interval(len(members))
+        share = math.ceil(len(members) * min(1.0, elapsed_s / interval_s))
+        due = heapq.nsmallest(share, members, key=lambda item: item.reported_to_at)
         # Half an elapsed span of slack keeps a member from missing its turn by a late timer.
         latest = now - interval_s + elapsed_s / 2
-        return [member for member in due if member.reported_to_at <= latest]
+        due = [member for member in due if member.reported_to_at <= latest]
+        for member in due:
+            member.reported_to_at = now
+        return due
+
+    def find_quiet_after(self) -> float:
+        """Return after which silence an agent gets no new flow, in seconds."""
+        return QUIET_REPORTS * compute_agent_interval(len(self.list_balancers()) + 1)
 
     def forget_lost(self, now: float) -> list[Identity]:
         """Forget the members unheard for very long; return them."""
@@ -259,6 +285,18 @@
         return {service: tuple(group) for service, group in groups.items()}
 
 
+def compute_agent_interval(balancers: int) -> float:
+    """Return how often an agent reports to each of several balancers, in seconds."""
+    spread_s = balancers / AGENT_REPORTS_PER_S
+    return min(LONGEST_INTERVAL_S, max(REPORT_INTERVAL_S, spread_s))
+
+
+def compute_balancer_interval(members: int) -> float:
+    """Return how often a balancer reports to each of several members, in seconds."""
+    spread_s = members / BALANCER_REPORTS_PER_S
+    return min(LONGEST_INTERVAL_S, max(BALANCER_INTERVAL_S, spread_s))
+
+
 @functools.lru_cache(maxsize=4096)
 def compute_tag(service: str) -> int:
     """Return the 16 bits that stand for a service beside a packet."""
--- a/packages/fescueseam/src/fescueseam/steering/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/steering/schema.capnp
@@ -30,6 +30,7 @@
   serviceTimeS @5 :Float32;
   cold @6 :Bool;
   leaving @7 :Bool;
+  failing @8 :Float32;
 }
 
 struct ColdBound {
--- a/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/conftest.py
@@ -63,6 +63,10 @@
     """Count the packets of flows that are held elsewhere."""
     accepts: bool = True
     alive: bool = True
+    breaks_off: bool = False
+    """Tell that it ends each request without an answer."""
+    hangs: bool = False
+    """Tell that it never ends a request."""
     busy: int = 0
     most_busy: int = 0
     served: int = 0
@@ -294,9 +298,13 @@
 
     def _finish(self, address: int, flow: FlowId) -> None:
         backend = self.backends[address]
+        if backend.hangs:
+            return
         backend.busy -= 1
         backend.served += 1
-        if backend.alive and flow in backend.flows:
+        if backend.breaks_off:
+            self._from_backend(address, build_answer(flow, finishes=True))
+        elif backend.alive and flow in backend.flows:
             self._from_backend(address, build_answer(flow, data_bytes=500))
 
     def _from_backend(self, address: int, segment: Segment) -> None:
--- a/packages/fescueseam/src/fescueseam/steering/tests/test_members.py
+++ b/packages/fescueseam/src/fescueseam/steering/tests/test_members.py
@@ -4,7 +4,9 @@
 import math
 
 from fescueseam.steering.members import (
+    AGENT_REPORTS_PER_S,
     GONE_AFTER_S,
+    LONGEST_INTERVAL_S,
     Availability,
     Fleet,
     Identity,
@@ -13,7 +15,7 @@
 )
 from fescueseam.steering.tests.conftest import ALERTS, INTAKE, Mesh, build_opening, flow_number
 
-INTERVAL_S, STEP_S = 0.5, 0.05
+STEP_S = 0.05
 
 
 def build_fleet(count: int) -> Fleet:
@@ -30,26 +32,42 @@
     sent: dict[str, list[float]] = {name: [] for name in fleet.members}
     for step in range(60):
         now = step * STEP_S * 1.02
-        due = fleet.list_due_reports(INTERVAL_S, STEP_S, now)
-        assert len(due) <= math.ceil(64 * STEP_S / INTERVAL_S)
+        due = fleet.take_turns(STEP_S, now)
+        assert len(due) <= math.ceil(64 * STEP_S / LONGEST_INTERVAL_S)
         for member in due:
-            member.reported_to_at = now
             sent[member.identity.name].append(now)
     for times in sent.values():
         gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
-        assert max(gaps) <= INTERVAL_S + 2 * STEP_S
+        assert max(gaps) <= LONGEST_INTERVAL_S + 2 * STEP_S
 
 
 def test_a_single_member_is_not_reported_to_more_often_than_the_interval() -> None:
     fleet = build_fleet(1)
     times = []
     for step in range(100):
-        for member in fleet.list_due_reports(INTERVAL_S, STEP_S, step * STEP_S):
-            member.reported_to_at = step * STEP_S
+        if fleet.take_turns(STEP_S, step * STEP_S):
             times.append(step * STEP_S)
     assert len(times) in (10, 11)
 
 
+def test_an_agent_sends_no_more_reports_than_its_budget() -> None:
+    fleet = Fleet(Identity("own", Role.AGENT, 1, "a", ALERTS))
+    for number in range(20):
+        fleet.note_listed(Identity(f"b-{number:02}", Role.BALANCER, 100 + number, "a"), 0.0)
+        fleet.note_report(fleet.members[f"b-{number:02}"].identity, Load(), 1, 0.0)
+    sent = sum(len(fleet.take_turns(0.25, step * 0.25)) for step in range(14))
+    assert sent <= 14 * (0.25 * AGENT_REPORTS_PER_S + 1)
+    assert all(item.reported_to_at > 3.25 - 1.25 for item in fleet.members.values())
+
+
+def test_silence_is_judged_by_the_interval_of_the_reports() -> None:
+    few, many = build_fleet(1), build_fleet(1)
+    for number in range(30):
+        many.note_listed(Identity(f"b-{number}", Role.BALANCER, 500 + number, "a"), 0.0)
+    assert few.find_quiet_after() < 1.0
+    assert LONGEST_INTERVAL_S * 2 < many.find_quiet_after() < GONE_AFTER_S
+
+
 def test_agents_are_found_by_service_and_address_through_changes() -> None:
     fleet = build_fleet(6)
     assert [item.identity.address for item in fleet.list_agents((ALERTS,))] == [101, 103, 105]
