Bound the random histories by processor time, not by the clock on the wall

Hypothesis called the history unreliable because the limit struck once; no promise was broken.

The bound of 120 s stays, in processor time, which other work does not stretch; a run that hangs is ended after 900 s.

--- a/packages/fescueseam-standins/src/fescueseam_standins/scenarios/tests/test_histories.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/tests/test_histories.py
@@ -1,7 +1,9 @@
 """Hold every promise over random histories of changes and failures."""
 
 import os
+import time
 
+import pytest
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
@@ -20,6 +22,10 @@
 SPREAD_S = 0.5
 STEP_S = 0.2
 SETTLE_S = 14.0
+PROCESSOR_LIMIT_S = 120.0
+"""Bound the processor time of the histories, as every test is bound; nothing in them waits."""
+WALL_LIMIT_S = 900
+"""End a run that hangs after this time; beside other work it gets a part of a core only."""
 
 SERVERS = [f"bitacora-{number}" for number in range(1, 8)]
 ENTRIES = ["entry-1", "entry-2", "entry-3"]
@@ -144,8 +150,11 @@
     run_state_machine_as_test(seed(SEED)(History), settings=chosen)
 
 
+@pytest.mark.timeout(WALL_LIMIT_S)
 def test_promises_hold_over_random_histories():
+    started = time.process_time()
     run_histories(CI_EXAMPLES, CI_STEPS)
+    assert time.process_time() - started < PROCESSOR_LIMIT_S
 
 
 def test_promises_hold_over_random_histories_soak():
