Contain unexpected exceptions to the packet, notice or loop in which they occur

A neighbouring balancer named, for the copy of an opening, an agent that was only listed and never heard; the log field `age_ms` of the offer rounded an infinite age. Ages of something never heard are now null in log lines (`age_ms`, and `heartbeat_age_ms` of an agent that has not received a heartbeat, which counted from the start of the monotonic clock).

The class of the fault: any exception in the handling of one datagram ended the process with all its flows. Now `contain` (decisions) and `FailureBarrier` (loops and sockets of both daemons) drop what was being handled, forget what was remembered of its flow, count and log `handler-failed` by place, and go on. MemoryError and faults of the settings still end a process.

An older fetch of the configuration that ends no longer clears the marker of a newer one.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/agent.py
@@ -14,6 +14,7 @@
 from fescueseam.exceptions import SettingsError
 from fescueseam.flows.keys import FlowKey
 from fescueseam.messages.codec import build_keyring
+from fescueseam.messages.types import Message
 from fescueseam.routing.table import MemberState
 from fescueseam.routing.view import View
 from fescueseam_daemon.backend import BackendProbe
@@ -21,6 +22,7 @@
 from fescueseam_daemon.control.loops import AgentControl
 from fescueseam_daemon.delivery import Delivery
 from fescueseam_daemon.effects import Executor
+from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.http import StatusServer
 from fescueseam_daemon.metrics import Metrics
 
@@ -47,8 +49,10 @@
     control: AgentControl = field(init=False)
     http: StatusServer = field(init=False)
     _last_report: LoadReport | None = None
+    _barrier: FailureBarrier = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._barrier = FailureBarrier(self.metrics.record_failure)
         settings = self.settings
         backend = require_backend(settings)
         self.core = Agent(
@@ -69,8 +73,11 @@
             settings.fabric_address,
             settings.fabric_port,
             self._handle_answer,
+            self._barrier,
+        )
+        self.probe = BackendProbe(
+            backend.load_url, self._handle_report, self._handle_backend_lost, self._barrier
         )
-        self.probe = BackendProbe(backend.load_url, self._handle_report, self._handle_backend_lost)
         self.executor = Executor(
             settings.service,
             self.channel,
@@ -96,8 +103,8 @@
         self.probe.start(nursery)
         self.http.start()
         await self.control.start(nursery)
-        nursery.start_soon(self._receive)
-        nursery.start_soon(self._tick)
+        nursery.start_soon(self._barrier.keep_running, "messages", self._receive)
+        nursery.start_soon(self._barrier.keep_running, "ticks", self._tick)
         log.info("agent started")
 
     async def drain(self) -> None:
@@ -159,15 +166,21 @@
                 # After a pause of this process, queued messages are read before the next tick, so
                 # the lease is checked here too.
                 self.view.has_lease = self.control.hears_peers(time.monotonic())
-                if not self.control.handle_message(message):
-                    self.executor.run(self.core.handle_message(message, time.monotonic()))
+                self._barrier.run("message", self._handle_message, message)
+
+    def _handle_message(self, message: Message) -> None:
+        if not self.control.handle_message(message):
+            self.executor.run(self.core.handle_message(message, time.monotonic()))
 
     async def _tick(self) -> None:
         while True:
-            self._refresh_state()
-            self.executor.run(self.core.tick(time.monotonic()))
+            self._barrier.run("state", self._refresh_state)
+            self._barrier.run("tick", self._run_core_tick)
             await trio.sleep(TICK_INTERVAL_S)
 
+    def _run_core_tick(self) -> None:
+        self.executor.run(self.core.tick(time.monotonic()))
+
     def _refresh_state(self) -> None:
         now = time.monotonic()
         self.view.has_lease = self.control.hears_peers(now)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/backend.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/backend.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from fescueseam.admission.gate import LoadReport
+from fescueseam_daemon.failure_barrier import FailureBarrier
 
 POLL_INTERVAL_S = 0.5
 """Interval between two probes while no fresh report is requested, in seconds."""
@@ -30,6 +31,7 @@
     url: str
     on_report: ReportCallback
     on_lost: LostCallback
+    barrier: FailureBarrier
     _report_requested: trio.Event = field(factory=trio.Event)
     _failures: int = 0
     _client: httpx.AsyncClient | None = None
@@ -41,7 +43,7 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Start polling."""
         self._client = httpx.AsyncClient(timeout=PROBE_TIMEOUT_S)
-        nursery.start_soon(self._run)
+        nursery.start_soon(self.barrier.keep_running, "probe", self._run)
 
     async def close(self) -> None:
         """Close the connection to the load endpoint."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/balancer.py
@@ -16,6 +16,7 @@
 from fescueseam_daemon.channel import Channel
 from fescueseam_daemon.control.loops import BalancerControl
 from fescueseam_daemon.effects import Executor
+from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.http import StatusServer
 from fescueseam_daemon.metrics import Metrics
 from fescueseam_daemon.sockets import open_udp, receive_batch, send_datagram
@@ -39,8 +40,10 @@
     control: BalancerControl = field(init=False)
     http: StatusServer = field(init=False)
     _packet_sock: socket.socket | None = None
+    _barrier: FailureBarrier = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._barrier = FailureBarrier(self.metrics.record_failure)
         settings = self.settings
         self.core = Balancer(settings.name, self.incarnation, self.view)
         self.channel = Channel(
@@ -62,9 +65,12 @@
         self.channel.start()
         self.http.start()
         await self.control.start(nursery)
-        nursery.start_soon(self._receive_packets)
-        nursery.start_soon(self._receive_messages)
-        nursery.start_soon(self._update_metrics)
+        for place, loop in (
+            ("packets", self._receive_packets),
+            ("messages", self._receive_messages),
+            ("metrics", self._update_metrics),
+        ):
+            nursery.start_soon(self._barrier.keep_running, place, loop)
         log.info("balancer started")
 
     async def drain(self) -> None:
@@ -90,16 +96,19 @@
         assert self._packet_sock is not None, "the packet socket of the balancer is not open"
         while True:
             for datagram in await receive_batch(self._packet_sock):
-                next_hop = self.core.find_next_hop(datagram)
-                if isinstance(next_hop, NextHop):
-                    self.channel.send_packet(next_hop, datagram)
-                else:
-                    self.executor.run([next_hop])
+                self._barrier.run("packet", self._forward, datagram)
+
+    def _forward(self, datagram: bytes) -> None:
+        next_hop = self.core.find_next_hop(datagram)
+        if isinstance(next_hop, NextHop):
+            self.channel.send_packet(next_hop, datagram)
+        else:
+            self.executor.run([next_hop])
 
     async def _receive_messages(self) -> None:
         while True:
             for message in await self.channel.receive():
-                self.control.handle_message(message)
+                self._barrier.run("message", self.control.handle_message, message)
 
     async def _update_metrics(self) -> None:
         while True:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import Any
 
 import trio
@@ -24,6 +25,7 @@
 from fescueseam_daemon.control.node import ControlNode
 from fescueseam_daemon.control.store import HttpStore
 from fescueseam_daemon.control.tables import TableSet, TableStep
+from fescueseam_daemon.failure_barrier import FailureBarrier
 
 TICK_INTERVAL_S = 0.05
 WATCH_TIMEOUT_S = 30.0
@@ -56,6 +58,7 @@
         self.store = HttpStore(node.settings.store_url, channel.metrics.registry)
         self.rng = random.Random(f"{node.settings.name}/{node.incarnation}")
         self._channel = channel
+        self._barrier = FailureBarrier(channel.metrics.record_failure)
         self._cancel_scope = trio.CancelScope()
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -117,13 +120,16 @@
         with self._cancel_scope:
             async with trio.open_nursery() as nursery:
                 for loop in self.list_loops():
-                    nursery.start_soon(loop)
+                    nursery.start_soon(self._barrier.keep_running, loop.__name__.strip("_"), loop)
 
     async def _tick(self) -> None:
         while True:
-            self._send(self.node.tick(time.monotonic()))
+            self._barrier.run("control-tick", self._run_node_tick)
             await trio.sleep(TICK_INTERVAL_S)
 
+    def _run_node_tick(self) -> None:
+        self._send(self.node.tick(time.monotonic()))
+
     def _send(self, sends: Iterable[Send]) -> None:
         for send in sends:
             self._channel.send(send.address, send.port, send.message)
@@ -281,7 +287,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for step in self.tables.list_due_steps(time.monotonic()):
-                    nursery.start_soon(self._run_step, step)
+                    run_step = partial(self._run_step, step)
+                    nursery.start_soon(self._barrier.run_task, "table-step", run_step)
                 await trio.sleep(TABLE_STEP_INTERVAL_S)
 
     async def _run_step(self, step: TableStep) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/delivery.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/delivery.py
@@ -11,6 +11,7 @@
 from fescueseam.exceptions import PacketError
 from fescueseam.flows.keys import FlowKey
 from fescueseam.packets.ip import build_udp, encapsulate
+from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.sockets import open_udp, receive_batch, send_datagram
 
 PORT_RELEASE_DELAY_S = 10.0
@@ -38,6 +39,7 @@
     fabric_address: str
     fabric_port: int
     on_answer: AnswerCallback
+    barrier: FailureBarrier
     _flow_sockets: dict[FlowKey, _FlowSocket] = field(factory=dict)
     _tunnel_sock: socket.socket | None = None
     _nursery: trio.Nursery | None = None
@@ -104,7 +106,7 @@
             while True:
                 for payload in await receive_batch(flow_socket.sock):
                     if not flow_socket.is_closed:
-                        self._relay_answer(flow, payload)
+                        self.barrier.run("answer", self._relay_answer, flow, payload)
         flow_socket.sock.close()
 
     def _relay_answer(self, flow: FlowKey, payload: bytes) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -11,7 +11,7 @@
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import Deregistration
 from fescueseam_daemon.handshake.ticker import TICK_INTERVAL_S, Ticker
-from fescueseam_daemon.handshake.web import Request, Response, build_readiness_response, serve_http
+from fescueseam_daemon.handshake.web import Request, Response, build_readiness_response
 
 SHUTDOWN_GRACE_S = 0.15
 """Longest time that a shutdown waits for requests in progress, in seconds. The backend server sends
@@ -44,18 +44,24 @@
         assert settings.heartbeats is not None, "checked by check_values() for agents"
         node.start()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(node.edge_socket.receive, self._receive_backend_packet)
-            nursery.start_soon(node.peer_socket.receive, self._receive_peer_packet)
-            nursery.start_soon(node.notice_socket.receive, self._receive_notice)
-            for listener, handler in (
-                (settings.heartbeats, self._handle_heartbeat_request),
-                (settings.readiness, self._handle_readiness_request),
+            for sock, place, receiver in (
+                (node.edge_socket, "backend-packet", self._receive_backend_packet),
+                (node.peer_socket, "caller-packet", self._receive_peer_packet),
+                (node.notice_socket, "notice", self._receive_notice),
             ):
-                nursery.start_soon(serve_http, listener.address, listener.port, handler)
-            nursery.start_soon(self._maintain_membership)
+                nursery.start_soon(node.receive, sock, place, receiver)
+            for listener, place, handler in (
+                (settings.heartbeats, "heartbeat", self._handle_heartbeat_request),
+                (settings.readiness, "readiness-request", self._handle_readiness_request),
+            ):
+                nursery.start_soon(node.serve, listener, place, handler)
             nursery.start_soon(node.serve_metrics)
-            nursery.start_soon(self.ticker.run)
-            nursery.start_soon(self._run_periodic_tasks)
+            for place, loop in (
+                ("membership", self._maintain_membership),
+                ("ticker", self.ticker.run),
+                ("maintenance", self._run_periodic_tasks),
+            ):
+                nursery.start_soon(node.barrier.keep_running, place, loop)
 
     async def shut_down(self) -> None:
         """Stop admitting flows and wait briefly for requests in progress."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -1,12 +1,14 @@
 """The process of a balancer, which runs on an entry instance."""
 
 from collections.abc import Iterable
+from functools import partial
 
 import trio
 from attrs import define, field
 
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.balancer import STARTUP_GRACE_S, Balancer
+from fescueseam.handshake.containment import contain
 from fescueseam.handshake.members import Identity, Load, Member, Role
 from fescueseam.handshake.notices import Locate, Located, Report
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
@@ -22,7 +24,6 @@
     Request,
     Response,
     build_readiness_response,
-    serve_http,
 )
 
 REPORT_BATCH_INTERVAL_S = 0.05
@@ -75,24 +76,28 @@
         node.start()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(node.edge_socket.receive, self._receive_caller_packet)
-            nursery.start_soon(node.peer_socket.receive, self._receive_returned_packet)
-            nursery.start_soon(node.notice_socket.receive, self._receive_notice)
-            nursery.start_soon(self._watch_rules)
-            nursery.start_soon(self._watch_outage)
-            nursery.start_soon(self._maintain_membership)
-            for listener, handler in (
-                (settings.readiness, self._handle_readiness_request),
-                (
-                    SocketAddress(settings.address, settings.peer_port + HTTP_PORT_OFFSET),
-                    self._handle_peer_request,
-                ),
+            for sock, place, receiver in (
+                (node.edge_socket, "caller-packet", self._receive_caller_packet),
+                (node.peer_socket, "returned-packet", self._receive_returned_packet),
+                (node.notice_socket, "notice", self._receive_notice),
             ):
-                nursery.start_soon(serve_http, listener.address, listener.port, handler)
+                nursery.start_soon(node.receive, sock, place, receiver)
+            peer_listener = SocketAddress(settings.address, settings.peer_port + HTTP_PORT_OFFSET)
+            for listener, place, handler in (
+                (settings.readiness, "readiness-request", self._handle_readiness_request),
+                (peer_listener, "peer-request", self._handle_peer_request),
+            ):
+                nursery.start_soon(node.serve, listener, place, handler)
             nursery.start_soon(node.serve_metrics)
-            nursery.start_soon(self.ticker.run)
-            nursery.start_soon(self._run_periodic_tasks)
-            nursery.start_soon(self._send_due_reports)
+            for place, loop in (
+                ("rules-watch", self._watch_rules),
+                ("outage-watch", self._watch_outage),
+                ("membership", self._maintain_membership),
+                ("ticker", self.ticker.run),
+                ("maintenance", self._run_periodic_tasks),
+                ("reports", self._send_due_reports),
+            ):
+                nursery.start_soon(node.barrier.keep_running, place, loop)
 
     async def shut_down(self) -> None:
         """Report not ready, and go on forwarding until the fabric sends no more flows here."""
@@ -111,7 +116,13 @@
         if segment is not None:
             now = trio.current_time()
             self.core.has_member_list = self.core.has_member_list or self._has_member_list(now)
-            self.ticker.execute(self.core.handle_packet(segment, now))
+            self.ticker.execute(
+                contain(
+                    "caller-packet",
+                    partial(self.core.handle_packet, segment, now),
+                    partial(self.core.discard_flow, segment.get_flow_from_caller()),
+                )
+            )
 
     def _receive_returned_packet(self, data: bytes, sender: str) -> None:
         segment = self.node.decode_packet(data, sender)
@@ -121,7 +132,13 @@
             self.node.log_event("packet-malformed", {"reason": "not-returned", "sender": sender})
             return
         address = parse_address(sender)
-        self.ticker.execute(self.core.handle_returned_packet(segment, address, trio.current_time()))
+        self.ticker.execute(
+            contain(
+                "returned-packet",
+                partial(self.core.handle_returned_packet, segment, address, trio.current_time()),
+                partial(self.core.discard_flow, segment.get_flow_from_caller()),
+            )
+        )
 
     def _receive_notice(self, data: bytes, sender: str) -> None:
         notice = self.node.decode_notice(data, sender)
@@ -130,7 +147,13 @@
         now = trio.current_time()
         if isinstance(notice.body, Located):
             self.node.fleet.record_message(notice.sender, now)
-            self.ticker.execute(self.core.handle_located(notice.sender, notice.body, now))
+            self.ticker.execute(
+                contain(
+                    "located",
+                    partial(self.core.handle_located, notice.sender, notice.body, now),
+                    partial(self.core.discard_flow, notice.body.flow),
+                )
+            )
         elif isinstance(notice.body, Locate):
             member = self.node.fleet.find(notice.sender)
             if member is not None:
@@ -148,7 +171,8 @@
             if body.rules_version > max(self.configuration.rules.version, self._fetching_version):
                 self._fetching_version = body.rules_version
                 assert self._nursery is not None, "run() has opened the nursery"
-                self._nursery.start_soon(self._fetch_rules, body)
+                fetch = partial(self._fetch_rules, body)
+                self._nursery.start_soon(node.barrier.run_task, "rules-fetch", fetch)
         is_behind = body.rules_version < self.configuration.rules.version
         is_behind = is_behind or body.outage.revision < self.configuration.outage.revision
         if body.requests_report or (changed and is_behind):
@@ -251,7 +275,8 @@
         except (StoreError, MessageError) as exc:
             self.node.log_event("rules-not-fetched", {"peer": peer.name, "cause": str(exc)})
         finally:
-            self._fetching_version = 0
+            if self._fetching_version == body.rules_version:
+                self._fetching_version = 0
             await client.close()
 
     async def _handle_readiness_request(self, request: Request) -> Response:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -1,7 +1,8 @@
 """Sockets, clients and effects that balancer and agent processes share."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import trio
@@ -9,6 +10,7 @@
 
 from fescueseam.exceptions import MessageError, PacketError, StoreError
 from fescueseam.handshake.codec import decode_notice, encode_notice
+from fescueseam.handshake.containment import build_failure_event
 from fescueseam.handshake.effects import (
     Deliver,
     Effect,
@@ -23,11 +25,19 @@
 from fescueseam.handshake.notices import Notice, NoticeBody, Report
 from fescueseam.handshake.segments import Segment, format_address, parse_address
 from fescueseam.retries.backoff import compute_backoff
+from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.platform_interface import ControlStore, Platform
-from fescueseam_daemon.handshake.settings import HandshakeSettings
+from fescueseam_daemon.handshake.settings import HandshakeSettings, SocketAddress
 from fescueseam_daemon.handshake.udp import UdpSocket
-from fescueseam_daemon.handshake.web import NOT_FOUND, Request, Response, serve_http
+from fescueseam_daemon.handshake.web import (
+    INTERNAL_ERROR,
+    NOT_FOUND,
+    Handler,
+    Request,
+    Response,
+    serve_http,
+)
 
 NOTICE_PORT_OFFSET, PACKET_PORT_OFFSET, HTTP_PORT_OFFSET = 0, 1, 2
 """Offsets from `peer_port` of the ports that processes use among themselves."""
@@ -87,12 +97,14 @@
     """Socket for packets between processes."""
     edge_socket: UdpSocket = field(init=False)
     """Socket for packets of callers (balancers) or of the backend server (agents)."""
+    barrier: FailureBarrier = field(init=False)
     _sequence: int = 0
     _last_encoded: tuple[NoticeBody | None, bytes] = (None, b"")
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.fleet = Fleet(self.own)
+        self.barrier = FailureBarrier(self._record_failure)
         self.store = self.platform.open_store(settings.store.address, settings.store.port)
         self.store_status = DependencyStatus("store", self.events)
         self.notice_socket = UdpSocket(settings.address, settings.peer_port + NOTICE_PORT_OFFSET)
@@ -118,9 +130,29 @@
         self.events.log_event(event, fields or {}, trio.current_time())
 
     def execute(self, effects: Iterable[Effect]) -> None:
-        """Execute effects in order."""
+        """Execute effects in order; one that fails does not keep back the others."""
         for effect in effects:
-            self._execute(effect)
+            self.barrier.run("effect", self._execute, effect)
+
+    async def receive(
+        self, sock: UdpSocket, place: str, handle: Callable[[bytes, str], None]
+    ) -> None:
+        """Call `handle` with each datagram of a socket, until cancelled."""
+        await sock.receive(partial(self.barrier.run, place, handle))
+
+    async def serve(self, listener: SocketAddress, place: str, handler: Handler) -> None:
+        """Serve HTTP requests until cancelled; reply 500 to one whose handling fails."""
+
+        async def handle(request: Request) -> Response:
+            try:
+                return await handler(request)
+            except MemoryError:
+                raise
+            except Exception as exc:
+                self._record_failure(place, exc)
+                return INTERNAL_ERROR
+
+        await serve_http(listener.address, listener.port, handle)
 
     def decode_packet(self, data: bytes, sender: str) -> Segment | None:
         """Decode a packet; log a malformed one and return None."""
@@ -234,7 +266,8 @@
             body = self.events.render(self.collect_gauges())
             return Response(200, body, "text/plain; version=0.0.4; charset=utf-8")
 
-        await serve_http(self.settings.address, self.settings.metrics_port, handle)
+        listener = SocketAddress(self.settings.address, self.settings.metrics_port)
+        await self.serve(listener, "metrics-request", handle)
 
     def collect_gauges(self) -> dict[str, float]:
         """Return the values of the gauges."""
@@ -244,6 +277,10 @@
             "datagrams_not_sent": float(sum(sock.unsent_datagrams for sock in sockets)),
         }
 
+    def _record_failure(self, place: str, exc: Exception) -> None:
+        event = build_failure_event(place, exc)
+        self.log_event(event.event, event.fields)
+
     def _execute(self, effect: Effect) -> None:
         packets = self.platform.packets
         if isinstance(effect, Forward):
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
@@ -0,0 +1,119 @@
+"""A notice, packet or request whose handling fails is dropped and counted; the process goes on."""
+
+import json
+import random
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from fescueseam.handshake.codec import encode_notice
+from fescueseam.handshake.effects import LogEvent, Observe
+from fescueseam.handshake.members import Fleet, Identity, Load, Role
+from fescueseam.handshake.notices import Notice, Report
+from fescueseam_daemon.handshake.balancer import BalancerProcess
+from fescueseam_daemon.handshake.events import EventLog
+from fescueseam_daemon.handshake.node import Node
+from fescueseam_daemon.handshake.settings import parse_settings
+from fescueseam_daemon.handshake.tests.test_settings import VALUES
+from fescueseam_daemon.handshake.web import HttpClient
+
+ADDRESS = "127.79.1.1"
+PEER_PORT = 7720
+
+
+class NoPlatform:
+    """Platform without packets or a store."""
+
+    packets = None
+
+    def open_store(self, address: str, port: int) -> "NoPlatform":
+        return self
+
+    async def close(self) -> None:
+        return
+
+    def __getattr__(self, name: str) -> Any:
+        async def fail(*args: object) -> None:
+            raise ZeroDivisionError(f"the store client fails in {name}")
+
+        return fail
+
+
+@pytest.fixture
+def node() -> Node:
+    """Return the node of a balancer on loopback."""
+    changes = {
+        "role": "balancer",
+        "address": ADDRESS,
+        "peer_port": PEER_PORT,
+        "packets": f"{ADDRESS}:8172",
+        "readiness": f"{ADDRESS}:8167",
+        "heartbeats": "",
+        "answers": "",
+        "seeds": [],
+    }
+    settings = parse_settings(json.dumps({**VALUES, **changes}), str(Path("settings.json")))
+    own = Identity("balancer-1", Role.BALANCER, 1, "a")
+    return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
+
+
+def build_datagram(name: str, sequence: int) -> bytes:
+    report = Report(Identity(name, Role.AGENT, 50 + sequence, "a", "alerts"), Load())
+    return encode_notice(Notice(name, 1, sequence, report))
+
+
+def count_failures(node: Node, place: str) -> int:
+    return node.events.counts["handler-failed", place]
+
+
+def test_process_goes_on_after_failing_notices_loops_and_requests(
+    node: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    record_report = Fleet.record_report
+
+    def fail_for_one(fleet: Fleet, identity: Identity, *args: Any) -> bool:
+        if identity.name == "poison":
+            raise ZeroDivisionError("a fault in the handling of one notice")
+        return record_report(fleet, identity, *args)
+
+    monkeypatch.setattr(Fleet, "record_report", fail_for_one)
+
+    async def main() -> None:
+        process = BalancerProcess(node)
+        monkeypatch.setattr(BalancerProcess, "is_ready", lambda process: 1 / 0)
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(process.run)
+            await trio.sleep(0.05)
+            for number, name in enumerate(("agent-1", "poison", "agent-2")):
+                sender.sendto(build_datagram(name, number), (ADDRESS, PEER_PORT))
+            with trio.fail_after(5.0):
+                while node.fleet.find("agent-2") is None:
+                    await trio.sleep(0.01)
+            client = HttpClient(ADDRESS, 8167)
+            response = await client.request("GET", "/readyz", None, 2.0)
+            assert response.status == 500
+            with trio.fail_after(5.0):
+                while count_failures(node, "rules-watch") < 2:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        sender.close()
+        await node.close()
+
+    trio.run(main)
+    assert count_failures(node, "notice") == 1
+    assert count_failures(node, "readiness-request") == 1
+    assert node.fleet.find("agent-1") is not None
+
+
+def test_failing_effect_does_not_keep_back_the_others(node: Node) -> None:
+    async def main() -> None:
+        poison = Observe("opening_seconds", "alerts", "not a number")  # type: ignore[arg-type]
+        node.execute([LogEvent("first"), poison, LogEvent("second")])
+
+    trio.run(main)
+    assert node.events.counts["second", ""] == 1
+    assert count_failures(node, "effect") == 1
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/ticker.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/ticker.py
@@ -42,5 +42,8 @@
             await self._has_work.wait()
             while self.core.has_pending_work():
                 await trio.sleep(TICK_INTERVAL_S)
-                self.node.execute(self.core.tick(trio.current_time()))
+                self.node.barrier.run("tick", self._tick)
             self._has_work = trio.Event()
+
+    def _tick(self) -> None:
+        self.node.execute(self.core.tick(trio.current_time()))
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -43,6 +43,7 @@
 
 
 NOT_FOUND = Response(404, b'{"error": "no such page"}')
+INTERNAL_ERROR = Response(500, b'{"error": "the request could not be handled"}')
 Handler = Callable[[Request], Awaitable[Response]]
 
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
@@ -1,5 +1,8 @@
 """Define the metrics of a daemon."""
 
+import logging
+from collections import defaultdict
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from fescueseam.effects import Metric
@@ -8,6 +11,10 @@
 SECONDS_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0, 600.0, 3600.0)
 COUNT_BUCKETS = (1, 2, 3, 4, 6, 8, 12, 16)
 LABELS = ("service", "service_class")
+FAILURES_PER_LOG_LINE = 100
+"""Number of failures of one place for which one line with a traceback is logged."""
+
+log = logging.getLogger(__name__)
 
 
 class Metrics:
@@ -46,6 +53,12 @@
             ("direction",),
             registry=self.registry,
         )
+        self.handler_failures = Counter(
+            "fescueseam_handler_failures_total",
+            "Unexpected exceptions that were contained, by the place where they occurred.",
+            ("place",),
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "fescueseam_config_version",
             "Version of the configuration in force.",
@@ -59,6 +72,7 @@
             "Requests admitted at once.",
             registry=self.registry,
         )
+        self._failures: defaultdict[str, int] = defaultdict(int)
         self._histograms = {
             metric: Histogram(
                 f"fescueseam_{metric.value}",
@@ -74,6 +88,15 @@
         """Record a value in the histogram of a service class."""
         self._histograms[metric].labels(service, class_name).observe(value)
 
+    def record_failure(self, place: str, exc: Exception) -> None:
+        """Count an unexpected exception; log the first of each place and then every hundredth."""
+        self.handler_failures.labels(place).inc()
+        self._failures[place] += 1
+        count = self._failures[place]
+        if count % FAILURES_PER_LOG_LINE == 1:
+            fields = {"place": place, "failures": count}
+            log.error("a handler failed", extra=fields, exc_info=exc)
+
     def count_drop(self, kind: ErrorKind, service: str = "", class_name: str = "") -> None:
         """Count a dropped packet or message."""
         self.dropped.labels(service, class_name, kind.value).inc()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
@@ -117,5 +117,6 @@
     sources = "".join(path.read_text() for path in HANDSHAKE_SOURCES)
     written = set(re.findall(r'\b(?:log_event|LogEvent)\(\s*"([a-z-]+)"', sources))
     written |= set(re.findall(r'"(dependency-[a-z-]+)"', sources))
+    assert {"flow-offered", "member-state", "dependency-lost"} <= written, "the pattern is stale"
     page = (ROOT / "docs/OPERATIONS.md").read_text()
     assert {name for name in written if f"`{name}`" not in page} == set()
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -2,11 +2,13 @@
 
 import math
 from collections import OrderedDict
+from functools import partial
 
 from attrs import define, field
 
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat, HeartbeatOutcome
 from fescueseam.handshake.cold_start import FALLBACK_OPENINGS_PER_S
+from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import (
     Deliver,
     Effects,
@@ -260,14 +262,27 @@
             if now - opening.delivered_at < OPENING_ANSWER_TIMEOUT_S:
                 break
             del self._delivered_openings[flow]
-            self.backend.record_unanswered_opening()
-            fields = {"flow": format_flow(flow), "unanswered": self.backend.unanswered_openings}
-            effects.append(LogEvent("opening-unanswered", fields))
-            segment = opening.segment
-            effects.append(self._return_packet(segment, segment.mark.origin, Purpose.NOT_ADMITTING))
+            effects += contain(
+                "opening-timeout",
+                partial(self._handle_opening_timeout, flow, opening),
+                partial(self.discard_opening, flow),
+            )
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
         return effects
 
+    def discard_opening(self, flow: FlowId) -> None:
+        """Drop a delivered opening. The flow table is kept: only this process holds it."""
+        self._delivered_openings.pop(flow, None)
+
+    def _handle_opening_timeout(self, flow: FlowId, opening: DeliveredOpening) -> Effects:
+        self.backend.record_unanswered_opening()
+        fields = {"flow": format_flow(flow), "unanswered": self.backend.unanswered_openings}
+        segment = opening.segment
+        return [
+            LogEvent("opening-unanswered", fields),
+            self._return_packet(segment, segment.mark.origin, Purpose.NOT_ADMITTING),
+        ]
+
     def _admit(self, segment: Segment, flow: FlowId, entry: Flow | None, now: float) -> Effects:
         origin = segment.mark.origin
         if entry is not None and not entry.ended:
@@ -279,7 +294,7 @@
                 "flow": format_flow(flow),
                 "reason": reason,
                 "busy": self.flows.busy,
-                "heartbeat_age_ms": round((now - self.backend.last_heard_at) * 1000),
+                "heartbeat_age_ms": self.backend.compute_heartbeat_age_ms(now),
             }
             purpose = Purpose.NO_FREE_SLOT if reason == REASON_BUSY else Purpose.NOT_ADMITTING
             return [
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -1,11 +1,12 @@
 """Availability of the backend server beside an agent, from its heartbeats and packets."""
 
+import math
 from enum import Enum
 
 from attrs import define, field, frozen
 
 from fescueseam.handshake.cold_start import ColdStartLimiter
-from fescueseam.handshake.members import Availability
+from fescueseam.handshake.members import Availability, compute_age_ms
 
 PREVIOUS_STARTS_LIMIT = 16
 """Largest number of previous starts that are remembered to recognise their delayed heartbeats."""
@@ -55,7 +56,7 @@
     listening_since: float
     """Time at which this process began to listen for heartbeats."""
     last_heartbeat: Heartbeat | None = None
-    last_heard_at: float = 0.0
+    last_heard_at: float = -math.inf
     """Time of the last accepted heartbeat or deregistration."""
     availability: Availability = Availability.UNKNOWN
     knows_all_flows: bool = False
@@ -105,6 +106,10 @@
         self.last_heard_at = now
         return True
 
+    def compute_heartbeat_age_ms(self, now: float) -> int | None:
+        """Return the age of the last heartbeat in milliseconds; None before the first."""
+        return compute_age_ms(self.last_heard_at, now)
+
     def record_packet(self) -> None:
         """Record a packet from the backend server."""
         self.unanswered_openings = 0
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -2,10 +2,12 @@
 
 import heapq
 from collections import OrderedDict
+from functools import partial
 
 from attrs import define, field
 
 from fescueseam.handshake.choice import choose_agent
+from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
 from fescueseam.handshake.members import Availability, Fleet, Member, compute_service_tag
@@ -144,9 +146,11 @@
                 if age_s >= DELIVERED_RETENTION_S:
                     del self.offered[flow]
             elif age_s >= OFFER_TIMEOUT_S:
-                if self.fleet.record_unanswered(opening.agent, now):
-                    effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
-                effects += self._offer_elsewhere(flow, opening.agent, True, now)
+                effects += contain(
+                    "offer-timeout",
+                    partial(self._handle_offer_timeout, flow, opening, now),
+                    partial(self.discard_flow, flow),
+                )
         effects += self.finder.tick(now)
         # Only a few are retried at a time, the oldest first: their outcome shows whether agents
         # accept flows again.
@@ -161,9 +165,26 @@
                 opening.tried_agents.clear()
                 opening.rejecting_agents.clear()
                 opening.even_if_busy = False
-                effects += self._place_pending(opening, flow, now)
+                effects += contain(
+                    "deferred-retry",
+                    partial(self._place_pending, opening, flow, now),
+                    partial(self.discard_flow, flow),
+                )
         return effects
 
+    def discard_flow(self, flow: FlowId) -> None:
+        """Drop everything that is remembered of a flow; its next packet finds the home again."""
+        self.offered.pop(flow, None)
+        self.deferred.pop(flow, None)
+        self.homes.pop(flow, None)
+        self.finder.discard(flow)
+
+    def _handle_offer_timeout(self, flow: FlowId, opening: PendingOpening, now: float) -> Effects:
+        effects: Effects = []
+        if self.fleet.record_unanswered(opening.agent, now):
+            effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
+        return effects + self._offer_elsewhere(flow, opening.agent, True, now)
+
     def expire_idle_homes(self, now: float, idle_s: float) -> None:
         """Forget the homes of flows that have been idle for `idle_s` seconds."""
         for flow, home in list(self.homes.items()):
@@ -221,7 +242,7 @@
             "tried": len(opening.tried_agents),
             "insists": opening.even_if_busy,
             "busy": member.load.busy,
-            "age_ms": round((now - member.last_heard_at) * 1000),
+            "age_ms": member.compute_age_ms(now),
             "config": self.configuration.rules.version,
         }
         opening.agent = member.identity.name
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -1,9 +1,11 @@
 """Searches for the agents that hold unknown flows."""
 
 from collections.abc import Callable
+from functools import partial
 
 from attrs import define, field
 
+from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
 from fescueseam.handshake.members import Fleet, Member, compute_service_tag
 from fescueseam.handshake.notices import Holding, Locate, Located
@@ -91,9 +93,17 @@
         effects: Effects = []
         for search in list(self.searches.values()):
             if now >= search.next_round_at:
-                effects += self._handle_timeout(search, now)
+                effects += contain(
+                    "search-timeout",
+                    partial(self._handle_timeout, search, now),
+                    partial(self.discard, search.flow),
+                )
         return effects
 
+    def discard(self, flow: FlowId) -> None:
+        """End the search for a flow's home, if any, without a result."""
+        self.searches.pop(flow, None)
+
     def _handle_hint(
         self, search: HomeSearch, balancer_name: str, body: Located, now: float
     ) -> Effects:
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -119,6 +119,10 @@
         """Return whether its last report says that it knows no backend server."""
         return self.load.availability in (Availability.UNKNOWN, Availability.LEFT)
 
+    def compute_age_ms(self, now: float) -> int | None:
+        """Return the age of its last message in milliseconds; None if it was never heard."""
+        return compute_age_ms(self.last_heard_at, now)
+
     def has_reported_backend(self) -> bool:
         """Return whether its last report says that it knows a backend server."""
         return self.last_heard_at != -math.inf and not self.is_without_backend()
@@ -311,6 +315,11 @@
     return min(MAX_REPORT_INTERVAL_S, max(MIN_BALANCER_REPORT_INTERVAL_S, spread_s))
 
 
+def compute_age_ms(heard_at: float, now: float) -> int | None:
+    """Return an age in milliseconds; None if the time is -infinity, which stands for never."""
+    return None if heard_at == -math.inf else round((now - heard_at) * 1000)
+
+
 @functools.lru_cache(maxsize=4096)
 def compute_service_tag(service: str) -> int:
     """Return the 16-bit hash of a service name for packet marks."""
