--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
@@ -1,6 +1,7 @@
 """A notice, packet or request whose handling fails is dropped and counted; the process goes on."""
 
 import json
+import os
 import random
 import socket
 from pathlib import Path
@@ -20,7 +21,8 @@
 from fescueseam_daemon.handshake.tests.test_settings import VALUES
 from fescueseam_daemon.handshake.web import HttpClient
 
-ADDRESS = "127.79.1.1"
+ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.1"
+"""Address of this run, so that concurrent runs do not share it."""
 PEER_PORT = 7720
 
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/capacity/tests/test_control_processes.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/capacity/tests/test_control_processes.py
@@ -12,9 +12,9 @@
 from fescueseam.conf.models import Configuration, DataCentre, Service, ServiceClass
 from fescueseam_standins.demo.plan import ProcessPlan
 from fescueseam_standins.demo.processes import Launcher
+from fescueseam_standins.loopback import claim_network
 
-SUBNET = f"127.{192 + os.getpid() % 32}.{os.getpid() // 32 % 256}"
-"""Loopback network of this run, so that concurrent runs do not share addresses."""
+SUBNET = f"{claim_network()}.40"
 STORE_URL = f"http://{SUBNET}.1:7000"
 PROCESSES = {
     "b0": ("balancer", "solo", 2),
@@ -92,13 +92,18 @@
 def wait_until(check, timeout_s):
     """Return the seconds until the check first holds."""
     started = time.monotonic()
+    last_error, checks = "none", 0
     while True:
+        checks += 1
         try:
             if check():
                 return time.monotonic() - started
-        except httpx.HTTPError:
-            pass
-        assert time.monotonic() - started < timeout_s, f"condition not met within {timeout_s} s"
+        except httpx.HTTPError as exc:
+            last_error = repr(exc)
+        waited_s = time.monotonic() - started
+        assert (
+            waited_s < timeout_s
+        ), f"condition not met within {timeout_s} s: {checks} checks, last error {last_error}"
         time.sleep(0.1)
 
 
