Recognise an answer that the closing packet has overtaken

A trace of the packets of one agent shows why: a backend server that closes a flow after its answer sends the answer and the closing packet at once, and the small one arrives first. The agent took each such request as ended without an answer. So `failing` rose to 1.0 at servers that failed nothing, and balancers chose servers by that noise, as it weighs up to 1 s.

Now the sequence number of a closing packet tells whether data precede it. A retransmission of an earlier answer no longer ends the next request of its flow either, and an agent that missed the answer (it started later) counts no failure.

Ruled out: servers that really fail (all these requests were served, with status 200).

The three new tests of test_failures.py fail before the change. The simulated backend servers number their data now.

--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -31,12 +31,27 @@
     """Arrival time of the newest data of the pending request; None if no request is pending."""
     next_caller_sequence: int | None = None
     """Sequence number after the newest data from the caller."""
+    next_server_sequence: int | None = None
+    """Sequence number after the newest data from the backend server; None before its first
+    packet."""
     caller_finished: bool = False
     server_finished: bool = False
     probe_origin: int = 0
     """Address of the balancer that is told when the backend server answers a probe; 0 if there is
     none."""
 
+    def advance_server_sequence(self, segment: Segment) -> bool:
+        """Return whether a packet of the backend server carries or follows data not seen before."""
+        end = (segment.sequence + segment.data_bytes + int(segment.opens)) % SEQUENCE_MODULUS
+        known = self.next_server_sequence
+        if known is not None and not is_sequence_after(end, known):
+            return False
+        self.next_server_sequence = end
+        if known is None:
+            # This agent started after the flow was opened, and may have missed the data.
+            return segment.data_bytes > 0 or (segment.finishes and not segment.opens)
+        return not segment.opens
+
     @property
     def ended(self) -> bool:
         """Whether both ends have finished."""
@@ -105,16 +120,21 @@
     def record_backend_packet(
         self, flow: FlowId, entry: Flow, segment: Segment, now: float
     ) -> RequestEnd | None:
-        """Record a packet from the backend server; return the request that it ends, if any."""
+        """Record a packet from the backend server; return the request that it ends, if any.
+
+        The packet that closes a flow may overtake the answer; its sequence number then shows that
+        data precede it. A retransmission of earlier data ends no request.
+        """
         entry.last_packet_at = now
         entry.answered = True
         self.flows.move_to_end(flow)
         if segment.finishes:
             entry.server_finished = True
-        ends_request = segment.data_bytes > 0 or segment.resets or segment.finishes
+        follows_new_data = entry.advance_server_sequence(segment)
+        ends_request = follows_new_data or segment.resets or segment.finishes
         if entry.pending_request_at is None or not ends_request:
             return None
-        end = RequestEnd(now - entry.pending_request_at, answered=segment.data_bytes > 0)
+        end = RequestEnd(now - entry.pending_request_at, answered=follows_new_data)
         entry.pending_request_at = None
         self.busy -= 1
         return end
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -84,6 +84,10 @@
     """Whether it ends each request without an answer."""
     hangs: bool = False
     """Whether it never ends a request."""
+    closes_flows: bool = False
+    """Whether it closes each flow after one answer; the closing packet overtakes the answer."""
+    sequences: defaultdict[FlowId, int] = field(factory=lambda: defaultdict(lambda: 5001))
+    """Sequence number of the next data of each flow."""
     busy: int = 0
     peak_busy: int = 0
     served: int = 0
@@ -313,7 +317,9 @@
                 self._send_from_backend(address, evolve(segment, returned=True))
                 return
             backend.flows.setdefault(flow, False)
-            self._send_from_backend(address, build_backend_segment(flow, opens=True))
+            sequence = backend.sequences[flow] - 1
+            opening = build_backend_segment(flow, opens=True, sequence=sequence)
+            self._send_from_backend(address, opening)
         elif flow not in backend.flows:
             backend.misrouted_packets[flow] += 1
             self._send_from_backend(address, evolve(segment, returned=True))
@@ -325,7 +331,8 @@
                 wait_s = backend.service_time_s * max(1.0, backend.busy / backend.slots)
                 self.schedule(wait_s, lambda: self._finish_request(address, flow))
             else:
-                self._send_from_backend(address, build_backend_segment(flow))
+                sequence = backend.sequences[flow]
+                self._send_from_backend(address, build_backend_segment(flow, sequence=sequence))
 
     def _finish_request(self, address: int, flow: FlowId) -> None:
         backend = self.backends[address]
@@ -333,10 +340,16 @@
             return
         backend.busy -= 1
         backend.served += 1
+        sequence = backend.sequences[flow]
+        closing = build_backend_segment(flow, finishes=True, sequence=sequence)
         if backend.ends_unanswered:
-            self._send_from_backend(address, build_backend_segment(flow, finishes=True))
+            self._send_from_backend(address, closing)
         elif backend.alive and flow in backend.flows:
-            self._send_from_backend(address, build_backend_segment(flow, data_bytes=500))
+            backend.sequences[flow] = sequence + 500
+            if backend.closes_flows:
+                self._send_from_backend(address, evolve(closing, sequence=sequence + 500))
+            answer = build_backend_segment(flow, data_bytes=500, sequence=sequence)
+            self._send_from_backend(address, answer)
 
     def _send_from_backend(self, address: int, segment: Segment) -> None:
         core = self.nodes.get(address)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_failures.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_failures.py
@@ -5,8 +5,15 @@
 
 import pytest
 
+from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.failures import FAILURE_DECAY_TIME_S, FailureTracker, compute_stuck_after
-from fescueseam.handshake.tests.conftest import Cluster, build_flow
+from fescueseam.handshake.flows import FlowTable
+from fescueseam.handshake.tests.conftest import (
+    Cluster,
+    build_backend_segment,
+    build_flow,
+    build_segment,
+)
 
 
 def send_requests_on_new_flows(cluster: Cluster, first: int, count: int) -> None:
@@ -41,6 +48,47 @@
     assert count_openings(cluster, 11) - before <= 6
 
 
+def test_closing_packet_that_overtakes_the_answer_is_no_failure(cluster: Cluster) -> None:
+    for backend in cluster.backends.values():
+        backend.closes_flows = True
+    send_requests_on_new_flows(cluster, 0, 30)
+    assert cluster.count_events("request-unanswered") == 0
+    for address in (11, 12, 13):
+        agent = cluster.nodes[address]
+        assert isinstance(agent, Agent)
+        assert agent.describe_load(cluster.now).failing == 0.0
+        assert agent.service_time_s == pytest.approx(0.02, rel=0.1)
+
+
+def test_late_copy_of_an_answer_does_not_end_the_next_request(cluster: Cluster) -> None:
+    flow = build_flow(0)
+    cluster.open(flow, 1)
+    cluster.request(flow, 1)
+    cluster.run(0.1)
+    home = cluster.find_home(flow)
+    agent = cluster.nodes[home]
+    assert isinstance(agent, Agent)
+    cluster.backends[home].hangs = True
+    cluster.request(flow, 1, sequence=1100)
+    cluster.run(0.05)
+    assert agent.flows.busy == 1
+    copy = build_backend_segment(flow, data_bytes=500, sequence=5001)
+    cluster.execute(home, agent.handle_backend_packet(copy, cluster.now))
+    assert agent.flows.busy == 1
+    assert cluster.count_events("request-unanswered") == 0
+
+
+def test_agent_that_missed_the_answer_counts_no_failure() -> None:
+    table = FlowTable()
+    flow = build_flow(0)
+    entry = table.add(flow, 1.0)
+    table.record_caller_packet(flow, entry, build_segment(flow, data_bytes=100), 1.0)
+    closing = build_backend_segment(flow, finishes=True, sequence=9000)
+    end = table.record_backend_packet(flow, entry, closing, 1.1)
+    assert end is not None
+    assert end.answered
+
+
 def test_recovered_backend_gets_its_share_again(cluster: Cluster) -> None:
     send_requests_on_new_flows(cluster, 0, 12)
     cluster.backends[11].ends_unanswered = True
