Mend small faults that were seen in passing

- The checks of peer_port (1 to 65533, with its hint), peer_port_last (three ports are needed), metrics_port and of the command's HTTP addresses bound the port.
- SIGHUP changes only what can change in a running process; it used to send to ports on which nobody listens after a change of `peer_port`.
The preference for servers of the own data centre becomes the setting `remote_penalty_ms`, with its value as before.
- A read on an idle connection that the server has closed is sent again on a new connection; writes are not.
- A message that the kernel does not take is counted (`fescueseam_datagrams_not_sent_total`).
- A malformed table in the store no longer drops the keeper's pending write and counts as a failed read.

--- a/packages/fescueseam-cli/src/fescueseam_cli/peers.py
+++ b/packages/fescueseam-cli/src/fescueseam_cli/peers.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import evolve, field, frozen
 
+from fescueseam.checks.values import MAX_PORT
 from fescueseam.exceptions import SettingsError, StoreError
 from fescueseam.upkeep.store import Store
 
@@ -58,10 +59,12 @@
 
 
 def parse_http_address(http_address: str) -> Peer:
-    """Return the peer that "address:port" names."""
+    """Return the peer that "address:port" names; raise SettingsError if it names none."""
     address, _, port = http_address.rpartition(":")
     if not address or not port.isascii() or not port.isdigit():
         raise SettingsError(f"{http_address!r} is not of the form address:port")
+    if not 1 <= int(port) <= MAX_PORT:
+        raise SettingsError(f"{http_address!r} has no valid port: use 1 to {MAX_PORT}")
     return Peer(address.strip("[]"), int(port))
 
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/channel.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/channel.py
@@ -37,9 +37,8 @@
     def send(self, address: str, port: int, message: Message) -> None:
         """Send a message.
 
-        A message that cannot be encoded, such as one that is too large, is dropped and counted.
-        One that the kernel does not accept, for example because its buffer is full, is dropped
-        without a count.
+        A message that cannot be encoded, such as one that is too large, is dropped and counted, and
+        so is one that the kernel does not accept, for example because its buffer is full.
         """
         self._sequence += 1
         try:
@@ -60,9 +59,13 @@
         self._send_datagram(datagram, next_hop.address, next_hop.port, next_hop.message)
 
     def _send_datagram(self, datagram: bytes, address: str, port: int, message: Message) -> None:
-        if self._sock is not None and send_datagram(self._sock, datagram, address, port):
-            self.metrics.messages.labels("out", type(message.body).__name__).inc()
-            self.metrics.message_bytes.labels("out").inc(len(datagram))
+        if self._sock is None:
+            return
+        if not send_datagram(self._sock, datagram, address, port):
+            self.metrics.datagrams_not_sent.inc()
+            return
+        self.metrics.messages.labels("out", type(message.body).__name__).inc()
+        self.metrics.message_bytes.labels("out").inc(len(datagram))
 
     async def receive(self) -> list[Message]:
         """Wait for messages and return them; drop and count the invalid ones."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -67,7 +67,12 @@
     """Whether another balancer has reported to this process."""
 
     def __attrs_post_init__(self) -> None:
-        self.core = Balancer(self.node.fleet, self.configuration, trio.current_time())
+        self.core = Balancer(
+            self.node.fleet,
+            self.configuration,
+            trio.current_time(),
+            lambda: self.node.settings.remote_penalty_s,
+        )
         self.ticker = Ticker(self.node, self.core)
 
     async def run(self) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 import trio
+from attrs import evolve
+from attrs import fields as attrs_fields
 
 from fescueseam.exceptions import SettingsError
 from fescueseam.handshake.members import Identity, Role
@@ -17,6 +19,8 @@
 from fescueseam_daemon.handshake.settings import HandshakeSettings, load_settings
 
 INCARNATION_BITS = 63
+RELOADABLE_SETTINGS = ("seeds", "log_lines_per_s", "remote_penalty_s")
+"""Settings that SIGHUP changes in a running process."""
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -64,12 +68,25 @@
 
 
 def reload_settings(path: Path, node: Node) -> None:
-    """Reload the settings that may change at run time; keep the old ones if the file has faults."""
+    """Reload the settings that may change at run time; keep the old ones if the file has faults.
+
+    The others, such as addresses and ports, stay as they are until the next start, because sockets
+    are bound to them and other processes use them.
+    """
     try:
         settings = load_settings(path)
     except SettingsError as exc:
         node.log_event("settings-kept", {"cause": str(exc)})
         return
-    node.settings = settings
+    changes = {name: getattr(settings, name) for name in RELOADABLE_SETTINGS}
+    node.settings = evolve(node.settings, **changes)
     node.events.max_lines_per_s = settings.log_lines_per_s
-    node.log_event("settings-reloaded", {"seeds": [str(seed) for seed in settings.seeds]})
+    fields = {
+        "seeds": [str(seed) for seed in settings.seeds],
+        "kept_until_start": [
+            item.name
+            for item in attrs_fields(HandshakeSettings)
+            if getattr(settings, item.name) != getattr(node.settings, item.name)
+        ],
+    }
+    node.log_event("settings-reloaded", fields)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -9,10 +9,13 @@
 
 from fescueseam.checks.faults import Fault, FaultId, has_errors
 from fescueseam.exceptions import SettingsError
+from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S
 from fescueseam.handshake.members import Role
 from fescueseam.handshake.segments import parse_address
 
 MAX_PORT = 65_535
+MAX_REMOTE_PENALTY_MS = 10_000
+"""Largest preference for servers of the own data centre, in milliseconds."""
 PEER_PORT_COUNT = 3
 """Number of consecutive ports that processes use among themselves: notices, packets, HTTP."""
 DEFAULT_LOG_LINES_PER_S = 20.0
@@ -56,6 +59,8 @@
     heartbeat_interval_s: float
     metrics_port: int
     log_lines_per_s: float = DEFAULT_LOG_LINES_PER_S
+    remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S
+    """Wait for a slot in the own data centre that a balancer prefers to a server in another one."""
 
 
 KEY_TYPES: dict[str, tuple[type, ...]] = {
@@ -77,6 +82,7 @@
     "heartbeat_interval_ms": (int, float),
     "metrics_port": (int,),
     "log_lines_per_s": (int, float),
+    "remote_penalty_ms": (int, float),
 }
 """Accepted types of the value of each key."""
 OPTIONAL_KEYS = {
@@ -87,6 +93,7 @@
     "service",
     "seeds",
     "log_lines_per_s",
+    "remote_penalty_ms",
 }
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 AGENT_KEYS = ("heartbeats", "answers", "backend", "service")
@@ -121,6 +128,7 @@
 
 def check_values(values: dict[str, Any], file_name: str) -> Iterator[Fault]:
     """Yield all faults of the values."""
+    yield from _check_peer_ports(values, file_name)
     for key in values.keys() - KEY_TYPES.keys():
         yield Fault(FaultId.UNKNOWN_KEY, key, "no setting has this key", "remove it", file_name)
     for key, types in KEY_TYPES.items():
@@ -160,12 +168,25 @@
             yield from _check_parses(
                 parse_socket_address, f"seeds[{index}]", seed, FaultId.BAD_ADDRESS, file_name
             )
-    if key == "peer_port" and not 1 <= value <= MAX_PORT - PEER_PORT_COUNT:
-        yield Fault(
-            FaultId.BAD_PORT, key, f"{value} is not a valid port", f"use 1 to {MAX_PORT}", file_name
-        )
+    last_port = MAX_PORT - PEER_PORT_COUNT + 1 if key == "peer_port" else MAX_PORT
+    if key in ("peer_port", "peer_port_last", "metrics_port") and not 1 <= value <= last_port:
+        hint = f"use 1 to {last_port}"
+        yield Fault(FaultId.BAD_PORT, key, f"{value} is not a valid port", hint, file_name)
     if key in ("heartbeat_interval_ms", "log_lines_per_s") and value <= 0:
         yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is not positive", "", file_name)
+    if key == "remote_penalty_ms" and not 0 <= value <= MAX_REMOTE_PENALTY_MS:
+        hint = f"use 0 to {MAX_REMOTE_PENALTY_MS}"
+        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
+
+
+def _check_peer_ports(values: dict[str, Any], file_name: str) -> Iterator[Fault]:
+    first, last = values.get("peer_port"), values.get("peer_port_last")
+    if not isinstance(first, int) or not isinstance(last, int):
+        return
+    if last < first + PEER_PORT_COUNT - 1:
+        message = f"{first} to {last} are fewer than {PEER_PORT_COUNT} ports"
+        hint = f"leave {PEER_PORT_COUNT} ports for notices, packets and HTTP"
+        yield Fault(FaultId.BAD_PORT, "peer_port_last", message, hint, file_name)
 
 
 def _check_parses(
@@ -222,4 +243,5 @@
         heartbeat_interval_s=values["heartbeat_interval_ms"] / 1000,
         metrics_port=values["metrics_port"],
         log_lines_per_s=float(values.get("log_lines_per_s") or DEFAULT_LOG_LINES_PER_S),
+        remote_penalty_s=(values.get("remote_penalty_ms", DEFAULT_REMOTE_PENALTY_S * 1000) / 1000),
     )
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
@@ -17,6 +17,7 @@
 from fescueseam_daemon.handshake.balancer import BalancerProcess
 from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.node import Node
+from fescueseam_daemon.handshake.running import reload_settings
 from fescueseam_daemon.handshake.settings import parse_settings
 from fescueseam_daemon.handshake.tests.test_settings import VALUES
 from fescueseam_daemon.handshake.web import HttpClient
@@ -62,6 +63,25 @@
     return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
 
 
+def test_reload_keeps_the_ports_that_sockets_are_bound_to(
+    node: Node, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "settings.json"
+    values = {**VALUES, "role": "balancer", "peer_port": 7000, "seeds": ["10.1.0.11:8166"]}
+    path.write_text(json.dumps({**values, "log_lines_per_s": 5, "remote_penalty_ms": 7}))
+    logged = []
+    monkeypatch.setattr(Node, "log_event", lambda node, *event: logged.append(event))
+    reload_settings(path, node)
+    assert node.settings.peer_port == PEER_PORT
+    assert node.settings.address == ADDRESS
+    assert [str(seed) for seed in node.settings.seeds] == ["10.1.0.11:8166"]
+    assert node.settings.remote_penalty_s == pytest.approx(0.007)
+    assert node.events.max_lines_per_s == 5
+    event, fields = logged[0]
+    assert event == "settings-reloaded"
+    assert {"peer_port", "address"} <= set(fields["kept_until_start"])
+
+
 def build_datagram(name: str, sequence: int) -> bytes:
     report = Report(Identity(name, Role.AGENT, 50 + sequence, "a", "alerts"), Load())
     return encode_notice(Notice(name, 1, sequence, report))
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
@@ -40,6 +40,11 @@
     assert settings.heartbeat_interval_s == pytest.approx(0.77)
 
 
+def test_last_ports_can_be_used() -> None:
+    settings = parse(peer_port=65_533, peer_port_last=65_535, metrics_port=65_535)
+    assert settings.peer_port == 65_533
+
+
 def test_balancer_settings_need_no_backend_server() -> None:
     settings = parse(role="balancer", heartbeats="", answers="", backend="", service="")
     assert settings.backend is None
@@ -55,6 +60,13 @@
         ({"seeds": ["x"]}, "E011"),
         ({"peer_port": 70_000}, "E012"),
         ({"peer_port": "7720"}, "E004"),
+        ({"peer_port": 65_534, "peer_port_last": 65_535}, "E012"),
+        ({"peer_port": 0}, "E012"),
+        ({"peer_port": 7720, "peer_port_last": 7721}, "E012"),
+        ({"metrics_port": 0}, "E012"),
+        ({"metrics_port": 65_536}, "E012"),
+        ({"remote_penalty_ms": -1}, "E017"),
+        ({"remote_penalty_ms": 20_000}, "E017"),
         ({"heartbeat_interval_ms": 0}, "E017"),
         ({"service": ""}, "E023"),
         ({"other": 1}, "E002"),
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_web.py
@@ -0,0 +1,67 @@
+"""The HTTP client when the server closes idle connections or answers nothing."""
+
+import os
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from fescueseam_daemon.handshake.web import HttpClient, LostResponseError
+
+ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.2"
+PORT = 8181
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+async def run_with_server(
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    use: Callable[[HttpClient], Awaitable[None]],
+) -> None:
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(PORT, host=ADDRESS)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        await use(HttpClient(ADDRESS, PORT))
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(("method", "is_repeated"), [("GET", True), ("PUT", False)])
+def test_read_is_repeated_when_the_server_closed_the_idle_connection(
+    method: str, is_repeated: bool
+) -> None:
+    received = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        received.append(await stream.receive_some(4096))
+        await stream.send_all(RESPONSE)
+        await stream.aclose()
+
+    async def use(client: HttpClient) -> None:
+        assert (await client.request("GET", "/a", None, 2.0)).status == 200
+        await trio.sleep(0.05)
+        if is_repeated:
+            assert (await client.request(method, "/b", None, 2.0)).status == 200
+        else:
+            with pytest.raises(LostResponseError):
+                await client.request(method, "/b", b"{}", 2.0)
+
+    trio.run(run_with_server, serve, use)
+    assert len(received) == (2 if is_repeated else 1)
+
+
+def test_read_is_not_repeated_once_the_response_has_begun() -> None:
+    received = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        received.append(await stream.receive_some(4096))
+        await stream.send_all(RESPONSE)
+        received.append(await stream.receive_some(4096))
+        await stream.send_all(RESPONSE[:-1])
+        await stream.aclose()
+
+    async def use(client: HttpClient) -> None:
+        await client.request("GET", "/a", None, 2.0)
+        with pytest.raises(LostResponseError):
+            await client.request("GET", "/b", None, 2.0)
+
+    trio.run(run_with_server, serve, use)
+    assert len(received) == 2
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -19,6 +19,8 @@
 """Largest body of a response. The store returns lists of about one megabyte."""
 MAX_SERVER_CONNECTIONS = 64
 """Largest number of connections that are served at the same time."""
+REPEATABLE_METHODS = ("GET",)
+"""Methods whose requests change nothing, so that they may be sent again."""
 MAX_IDLE_CONNECTIONS = 2
 """Largest number of idle connections that a client keeps open."""
 RECEIVE_CHUNK_BYTES = 65_536
@@ -51,6 +53,10 @@
     """A request without a response; it may have taken effect."""
 
 
+class ClosedConnectionError(LostResponseError):
+    """A request on a connection that was closed before the response began."""
+
+
 def build_readiness_response(request: Request, is_ready: bool) -> Response:
     """Return the response to the fabric's readiness probe."""
     if request.path != "/readyz":
@@ -134,9 +140,15 @@
         """Send a request and return the response.
 
         Raise StoreError if no connection can be opened. Raise LostResponseError if the time is up
-        or if the connection fails before the response is complete.
+        or if the connection fails before the response is complete. A read on an idle connection
+        that the server has closed is sent again on a new one.
         """
         with trio.move_on_after(timeout_s):
+            if self._idle_connections and method in REPEATABLE_METHODS:
+                try:
+                    return await self._request(method, target, body)
+                except ClosedConnectionError:
+                    await self.close()
             return await self._request(method, target, body)
         raise LostResponseError(f"no response to {method} {target} within {timeout_s:g} s")
 
@@ -192,9 +204,20 @@
         return h11.Connection(h11.CLIENT), trio.SocketStream(sock)
 
 
+async def _receive_first(stream: trio.SocketStream) -> bytes:
+    try:
+        data = await stream.receive_some(RECEIVE_CHUNK_BYTES)
+    except trio.BrokenResourceError as exc:
+        raise ClosedConnectionError("the connection was reset before the response") from exc
+    if not data:
+        raise ClosedConnectionError("the connection was closed before the response")
+    return bytes(data)
+
+
 async def _read_response(conn: h11.Connection, stream: trio.SocketStream) -> Response:
     status = 0
     body = bytearray()
+    conn.receive_data(await _receive_first(stream))
     while True:
         event = conn.next_event()
         if event is h11.NEED_DATA:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/metrics.py
@@ -53,6 +53,11 @@
             ("direction",),
             registry=self.registry,
         )
+        self.datagrams_not_sent = Counter(
+            "fescueseam_datagrams_not_sent_total",
+            "Messages that the kernel did not accept.",
+            registry=self.registry,
+        )
         self.handler_failures = Counter(
             "fescueseam_handler_failures_total",
             "Unexpected exceptions that were contained, by the place where they occurred.",
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -2,11 +2,12 @@
 
 import heapq
 from collections import OrderedDict
+from collections.abc import Callable
 from functools import partial
 
 from attrs import define, field
 
-from fescueseam.handshake.choice import choose_agent
+from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S, choose_agent
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
@@ -52,6 +53,8 @@
     fleet: Fleet
     configuration: ActiveConfiguration
     started_at: float
+    get_remote_penalty_s: Callable[[], float] = lambda: DEFAULT_REMOTE_PENALTY_S
+    """Returns the delay added for a backend server in another data centre."""
     has_member_list: bool = False
     """Whether the member list has been read. Until then an unknown agent may hold a flow, so that
     flows without a known home are not reset."""
@@ -219,19 +222,20 @@
             return self._defer_or_refuse(opening, flow, now)
         member = None
         if not opening.even_if_busy and len(opening.tried_agents) < FREE_SLOT_OFFERS_LIMIT:
-            member = choose_agent(
-                self.fleet, self.configuration, opening.service, opening.tried_agents, now
-            )
+            member = self._choose_agent(opening.service, opening.tried_agents, now)
         if member is None:
             opening.even_if_busy = True
-            member = choose_agent(
-                self.fleet, self.configuration, opening.service, opening.rejecting_agents, now
-            )
+            member = self._choose_agent(opening.service, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self._defer_or_refuse(opening, flow, now)
         return self._offer_to(member, opening, flow, now)
 
+    def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
+        return choose_agent(
+            self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
+        )
+
     def _offer_to(
         self, member: Member, opening: PendingOpening, flow: FlowId, now: float
     ) -> Effects:
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -7,8 +7,8 @@
 
 DEFAULT_SERVICE_TIME_S = 0.05
 """Service time assumed for a backend server that has served no request yet, in seconds."""
-REMOTE_PENALTY_S = 0.004
-"""Delay added for a backend server in another data centre, in seconds: the round trip to it."""
+DEFAULT_REMOTE_PENALTY_S = 0.004
+"""Default delay added for a backend server in another data centre, in seconds."""
 COLD_SERVICE_TIME_FACTOR = 3.0
 """Factor on the service time of a cold backend server, which is slow and can take few openings."""
 FAILURE_PENALTY_S = 1.0
@@ -35,8 +35,12 @@
     )
 
 
-def estimate_delay(member: Member, data_centre: str) -> float:
-    """Return the estimated time until a request sent to an agent is answered, in seconds."""
+def estimate_delay(member: Member, data_centre: str, remote_penalty_s: float) -> float:
+    """Return the estimated time until a request sent to an agent is answered, in seconds.
+
+    `remote_penalty_s` is added for another data centre: the wait for a slot nearby that is accepted
+    to save the round trips and the bytes of the whole flow between data centres.
+    """
     load = member.load
     service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
     if load.cold:
@@ -49,7 +53,7 @@
     delay_s = service_time_s * (1 + expected_busy / slots)
     delay_s += load.failing * FAILURE_PENALTY_S
     if member.identity.data_centre != data_centre:
-        delay_s += REMOTE_PENALTY_S
+        delay_s += remote_penalty_s
     return delay_s
 
 
@@ -59,6 +63,7 @@
     service: str,
     excluded: Collection[str],
     now: float,
+    remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S,
 ) -> Member | None:
     """Return the agent expected to serve a new flow soonest, or None if no agent is eligible."""
     report_timeout_s = fleet.compute_report_timeout()
@@ -74,5 +79,8 @@
     not_recently_full = [item for item in ready if item.busy_until <= now]
     return min(
         not_recently_full or ready or candidates,
-        key=lambda member: (estimate_delay(member, fleet.own.data_centre), member.identity.name),
+        key=lambda member: (
+            estimate_delay(member, fleet.own.data_centre, remote_penalty_s),
+            member.identity.name,
+        ),
     )
--- a/packages/fescueseam/src/fescueseam/upkeep/keeper.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/keeper.py
@@ -129,12 +129,15 @@
         return self._write(plan.table, self._object_version, now)
 
     def on_read(self, stored: StoredObject | None, now: float) -> None:
-        """Process the result of a read; a stale result does not decrease the epoch."""
+        """Process the result of a read; a stale result does not decrease the epoch.
+
+        Raise StoreError for a malformed table without any change; the read counts as failed then.
+        """
+        table = decode_table(stored.value) if stored is not None else Table(self.table.service, 0)
         self._in_flight = False
         self._breaker.record_success()
         self._pending_write = None
         self._object_version = stored.version if stored is not None else 0
-        table = decode_table(stored.value) if stored is not None else Table(self.table.service, 0)
         self._stored_epoch = table.epoch
         if table.epoch > self.table.epoch:
             self._adopt(table, now)
--- a/packages/fescueseam/src/fescueseam/upkeep/tests/test_keeper.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/tests/test_keeper.py
@@ -4,6 +4,7 @@
 from attrs import evolve
 
 from fescueseam.claims.registry import PACKET_LIFETIME_S
+from fescueseam.exceptions import StoreError
 from fescueseam.membership.facts import Status
 from fescueseam.retries.backoff import BACKOFF_CAP_S
 from fescueseam.routing.table import MemberState
@@ -280,3 +281,16 @@
     settled_sim.run(10.0)
     assert settled_sim.store.table.epoch > lost_table.epoch
     assert get_states(settled_sim.store.table)["a1"] is MemberState.RETIRED
+
+
+def test_malformed_table_in_the_store_leaves_the_pending_write_and_counts_as_failed(settled_sim):
+    keeper = settled_sim.keepers["b0"]
+    table = keeper.table
+    keeper._pending_write = pending = evolve(table, epoch=2)
+    failures = keeper.failures
+    with pytest.raises(StoreError):
+        keeper.on_read(StoredObject("tables/katalog", {"epoch": "x"}, 7), settled_sim.now)
+    keeper.on_failed(settled_sim.now)
+    assert keeper._pending_write is pending
+    assert keeper.table is table
+    assert keeper.failures == failures + 1
