--- a/packages/fescueseam-standins/src/fescueseam_standins/capacity/cluster.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/capacity/cluster.py
@@ -32,7 +32,6 @@
 """Ticks between two runs of the table keepers."""
 DIRECTORY_INTERVAL_TICKS = 20
 """Ticks between two checks of the directory object."""
-PROCESS_START_TIME_S = 1.0
 MESSAGE_KEYS = (KeySettings(1, "capacity"),)
 
 ControlAddress = tuple[str, int]
--- a/packages/fescueseam-standins/src/fescueseam_standins/demo/plan.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/demo/plan.py
@@ -35,7 +35,6 @@
 FIRST_BALANCER_HOST = 11
 FIRST_ENDPOINT_HOST = 21
 DRAIN_TIMEOUT_S = 3.0
-WARM_UP_S = 30.0
 
 
 @frozen
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/at_most_once.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/at_most_once.py
@@ -20,8 +20,6 @@
 FIRST_CALL_AT_S = 1.0
 COMPLETION_TIME_S = 40.0
 """Time for open calls to end after the last arrival, in seconds."""
-CLAIMS_GRANTED_AFTER_S = 12.0
-"""Time from the start until members grant claims, in seconds."""
 
 
 @frozen
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
@@ -17,7 +17,6 @@
 IDEAL_POOL_FASTEST_FIRST = "ideal-pool-fastest-first"
 FESCUESEAM_ENDS_HIDDEN = "fescueseam-ends-hidden"
 """Variant in which agents are not told when flows end."""
-MICROSECONDS = 1e6
 
 
 @frozen
--- a/packages/fescueseam-standins/src/fescueseam_standins/scenarios/promises.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/scenarios/promises.py
@@ -13,8 +13,6 @@
 """Longest time for which packets may still enter a data centre taken out, in seconds."""
 DRAIN_GRACE_S = 3.0
 """Longest time for which a draining backend server may still get new flows, in seconds."""
-CONFIGURATION_GRACE_S = 6.0
-"""Longest time until an accepted configuration is in force everywhere, in seconds."""
 SERVER_LOSS_VERBS = frozenset({"kill", "cool"})
 """Verbs of events that lose a backend server, which excuses the loss of its flows."""
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/world/world.py
@@ -83,7 +83,6 @@
     """Newest table of each service."""
     choose_balancer: Callable[[list[BalancerHost]], BalancerHost] | None = None
     """Selects the balancer that gets a caller's packet; without it, the choice is random."""
-    before_ticks: list[Callable[[], None]] = field(factory=list)
     _hosts_by_address: dict[str, Host] = field(factory=dict)
     _last_address_number: int = 0
     _last_incarnation: int = 0
--- a/packages/fescueseam/src/fescueseam/membership/detector.py
+++ b/packages/fescueseam/src/fescueseam/membership/detector.py
@@ -109,10 +109,6 @@
             for event in self._check_silence(record, now)
         ]
 
-    def count_by_status(self, status: Status) -> int:
-        """Return the number of processes that have the status."""
-        return sum(record.status is status for record in self.records.values())
-
     def _add_member(self, announcement: Announcement, now: float) -> list[MembershipEvent]:
         if len(self.records) >= self._settings.members_limit and not self._evict_dead_member():
             self.turned_down += 1
--- a/packages/fescueseam/src/fescueseam/placement/recorder.py
+++ b/packages/fescueseam/src/fescueseam/placement/recorder.py
@@ -101,7 +101,7 @@
 
     def handle_placed(self, sender: str, body: types.Placed, now: float) -> Effects:
         """Handle the reply of a member that has delivered an opening."""
-        self._record_load(sender, body.load, now)
+        self._record_load(sender, body.load)
         search = self.searches.get(body.flow)
         if search is not None:
             return self._complete_search(search, sender, now)
@@ -113,7 +113,7 @@
 
     def handle_full(self, sender: str, body: types.Full, epoch: int, now: float) -> Effects:
         """Handle a rejection: the member has not delivered the opening and will not do so."""
-        self._record_load(sender, body.load, now).full_until = now + FULL_MEMBER_BACKOFF_S
+        self._record_load(sender, body.load).full_until = now + FULL_MEMBER_BACKOFF_S
         search = self.searches.get(body.flow)
         if search is None or search.attempt != body.attempt:
             return []
@@ -126,7 +126,7 @@
 
     def handle_free(self, sender: str, load: types.Load, now: float) -> Effects:
         """Offer waiting openings to a member that has free slots again."""
-        self._record_load(sender, load, now).full_until = 0.0
+        self._record_load(sender, load).full_until = 0.0
         for search in self.searches.values():
             # Openings that are currently offered elsewhere may be offered to this member again.
             if now < search.started + search.service_class.wait_s:
@@ -438,10 +438,9 @@
             return None
         return member
 
-    def _record_load(self, name: str, load: types.Load, now: float) -> PeerLoad:
+    def _record_load(self, name: str, load: types.Load) -> PeerLoad:
         peer = self.loads.setdefault(name, PeerLoad())
         peer.load = load
-        peer.heard = now
         return peer
 
     def _carry_to_home(self, member: Member, packet: Packet, service_class: ServiceClass) -> Send:
--- a/packages/fescueseam/src/fescueseam/placement/search.py
+++ b/packages/fescueseam/src/fescueseam/placement/search.py
@@ -78,6 +78,5 @@
     """The last load received from a member."""
 
     load: Load = field(factory=Load)
-    heard: float = 0.0
     full_until: float = 0.0
     """Until when the member counts as full."""
--- a/packages/fescueseam/src/fescueseam/versions/values.py
+++ b/packages/fescueseam/src/fescueseam/versions/values.py
@@ -1,6 +1,6 @@
 """Store versioned values; the highest version of each key wins."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 
 import xxhash
 from attrs import field, frozen
@@ -119,11 +119,6 @@
         """Return the content hash of each group."""
         return tuple(self._hashes)
 
-    def forget_unwanted(self, is_wanted: Callable[[str], bool]) -> None:
-        """Remove unwanted live keys without tombstones, so that no deletion is replicated."""
-        for key in [key for key in self._live if not is_wanted(key)]:
-            self._remove(key)
-
     def _remove(self, key: str) -> None:
         group = compute_group(key)
         known = self._live.pop(key, None)
