Offer nothing to an agent that left an opening unanswered until it is heard

Cause: an agent that left an offer unanswered was passed over for 1 s and then offered flows again and again, each of which waited 60 ms, until its last report was too old: up to 3.2 s in a large fleet, and longer once reports come less often. The last load of a lost agent does not change, so it looks free while the others fill up.

Now it gets no new flow until any message from it arrives, and is asked for a report at once and then every 0.5 s, so that a lost packet costs one round trip in place of 1 s.

Shown: in test_lost_agent_of_a_large_fleet_is_offered_few_flows a lost agent was offered 26 of 145 flows, now 4 at most.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -302,13 +302,19 @@
     async def _send_due_reports(self) -> None:
         while True:
             await trio.sleep(REPORT_BATCH_INTERVAL_S)
-            due = self.node.fleet.select_due_members(REPORT_BATCH_INTERVAL_S, trio.current_time())
+            fleet, now = self.node.fleet, trio.current_time()
+            probed = fleet.select_probed_members(now)
+            if probed:
+                self._send_report(probed, requests_report=True)
+            due = fleet.select_due_members(REPORT_BATCH_INTERVAL_S, now)
             if due:
                 self._send_report(due)
 
-    def _send_report(self, members: Iterable[Member] | None = None) -> None:
+    def _send_report(
+        self, members: Iterable[Member] | None = None, requests_report: bool = False
+    ) -> None:
         """Send a report to the given members, by default to all."""
-        body, now = self._build_report(), trio.current_time()
+        body, now = self._build_report(requests_report), trio.current_time()
         for member in list(self.node.fleet.members.values()) if members is None else members:
             member.last_report_sent_at = now
             self.node.send_notice(member.identity.address, body)
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
@@ -0,0 +1,55 @@
+"""Shared fixtures: the node of a balancer without a platform."""
+
+import json
+import os
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fescueseam.handshake.members import Identity, Role
+from fescueseam_daemon.handshake.events import EventLog
+from fescueseam_daemon.handshake.node import Node
+from fescueseam_daemon.handshake.settings import parse_settings
+from fescueseam_daemon.handshake.tests.test_settings import VALUES
+
+ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.1"
+"""Address of this run, so that concurrent runs do not share it."""
+PEER_PORT = 7720
+
+
+class NoPlatform:
+    """Platform without packets or a store."""
+
+    packets = None
+
+    def open_store(self, address: str, port: int) -> "NoPlatform":
+        return self
+
+    async def close(self) -> None:
+        return
+
+    def __getattr__(self, name: str) -> Any:
+        async def fail(*args: object) -> None:
+            raise ZeroDivisionError(f"the store client fails in {name}")
+
+        return fail
+
+
+@pytest.fixture
+def node() -> Node:
+    """Return the node of a balancer on loopback."""
+    changes = {
+        "role": "balancer",
+        "address": ADDRESS,
+        "peer_port": PEER_PORT,
+        "packets": f"{ADDRESS}:8172",
+        "readiness": f"{ADDRESS}:8167",
+        "heartbeats": "",
+        "answers": "",
+        "seeds": [],
+    }
+    settings = parse_settings(json.dumps({**VALUES, **changes}), str(Path("settings.json")))
+    own = Identity("balancer-1", Role.BALANCER, 1, "a")
+    return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
@@ -1,8 +1,6 @@
 """A notice, packet or request whose handling fails is dropped and counted; the process goes on."""
 
 import json
-import os
-import random
 import socket
 from pathlib import Path
 from typing import Any
@@ -15,53 +13,12 @@
 from fescueseam.handshake.members import Fleet, Identity, Load, Role
 from fescueseam.handshake.notices import Notice, Report
 from fescueseam_daemon.handshake.balancer import BalancerProcess
-from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.running import reload_settings
-from fescueseam_daemon.handshake.settings import parse_settings
+from fescueseam_daemon.handshake.tests.conftest import ADDRESS, PEER_PORT
 from fescueseam_daemon.handshake.tests.test_settings import VALUES
 from fescueseam_daemon.handshake.web import HttpClient
 
-ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.1"
-"""Address of this run, so that concurrent runs do not share it."""
-PEER_PORT = 7720
-
-
-class NoPlatform:
-    """Platform without packets or a store."""
-
-    packets = None
-
-    def open_store(self, address: str, port: int) -> "NoPlatform":
-        return self
-
-    async def close(self) -> None:
-        return
-
-    def __getattr__(self, name: str) -> Any:
-        async def fail(*args: object) -> None:
-            raise ZeroDivisionError(f"the store client fails in {name}")
-
-        return fail
-
-
-@pytest.fixture
-def node() -> Node:
-    """Return the node of a balancer on loopback."""
-    changes = {
-        "role": "balancer",
-        "address": ADDRESS,
-        "peer_port": PEER_PORT,
-        "packets": f"{ADDRESS}:8172",
-        "readiness": f"{ADDRESS}:8167",
-        "heartbeats": "",
-        "answers": "",
-        "seeds": [],
-    }
-    settings = parse_settings(json.dumps({**VALUES, **changes}), str(Path("settings.json")))
-    own = Identity("balancer-1", Role.BALANCER, 1, "a")
-    return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
-
 
 def test_reload_keeps_the_ports_that_sockets_are_bound_to(
     node: Node, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -17,8 +17,6 @@
 OPEN_FLOW_WEIGHT = 0.02
 """Load that each open flow adds, relative to a busy one: callers have a request in flight for about
 this share of the time."""
-UNANSWERED_BACKOFF_S = 1.0
-"""Time for which an agent is offered no flow after it left an opening unanswered, in seconds."""
 
 
 def is_eligible_for_flows(
@@ -30,7 +28,7 @@
         and not member.load.leaving
         and member.excluded_until <= now
         and now - member.last_heard_at < report_timeout_s
-        and (member.unanswered_at is None or now - member.unanswered_at > UNANSWERED_BACKOFF_S)
+        and member.unanswered_at is None
         and not configuration.is_data_centre_out(member.identity.data_centre)
     )
 
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -34,6 +34,8 @@
 SHORT_MEMBER_TIMEOUT_S = 2.0
 """Timeout for a member that was only listed and for an agent without a backend server, in seconds.
 A process restarts within about a second, and the store may still list lost members."""
+PROBE_INTERVAL_S = 0.5
+"""Interval of the report requests to a member that left a packet unanswered, in seconds."""
 MEMBER_RETENTION_S = 60.0
 """Time without a message after which a member is removed, in seconds: the longest life of an idle
 flow."""
@@ -105,7 +107,10 @@
     flows_sent_since_report: int = 0
     """Number of flows offered to the member since its last report."""
     unanswered_at: float | None = None
-    """Time at which the member left a packet unanswered; None once a message arrives."""
+    """Time at which the member left a packet unanswered; None once a message arrives. Until then it
+    is offered no new flow."""
+    probed_at: float = -math.inf
+    """Time at which it was last asked for a report because it left a packet unanswered."""
     busy_until: float = 0.0
     """Time until which other members are preferred, because it did not admit a flow."""
     excluded_until: float = 0.0
@@ -269,6 +274,23 @@
             len(self.list_balancers()) + 1
         )
 
+    def select_probed_members(self, now: float) -> list[Member]:
+        """Return the members that are to be asked for a report now, and mark them as asked.
+
+        These left a packet unanswered and are not unreachable yet. Their answer shows that only
+        the packet was lost; the load of a lost member would attract flows until it is unreachable.
+        """
+        probed = [
+            member
+            for member in self.members.values()
+            if member.unanswered_at is not None
+            and now - member.probed_at >= PROBE_INTERVAL_S
+            and not self.is_unreachable(member, now)
+        ]
+        for member in probed:
+            member.probed_at = now
+        return probed
+
     def remove_expired(self, now: float) -> list[Identity]:
         """Remove and return the members that were silent for longer than the retention time."""
         expired = [
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
@@ -63,6 +63,20 @@
     assert all(item.last_report_sent_at > 3.25 - 1.25 for item in fleet.members.values())
 
 
+def test_member_that_left_a_packet_unanswered_is_probed_until_it_is_heard() -> None:
+    fleet = build_fleet(2)
+    for member in list(fleet.members.values()):
+        fleet.record_report(member.identity, Load(Availability.READY), 1, 10.0)
+    assert fleet.select_probed_members(10.0) == []
+    fleet.record_unanswered("agent-001", 10.0)
+    probed = [fleet.select_probed_members(10.0 + step * 0.25) for step in range(5)]
+    names = [[member.identity.name for member in members] for members in probed]
+    assert names == [["agent-001"], [], ["agent-001"], [], ["agent-001"]]
+    assert fleet.select_probed_members(10.0 + MEMBER_TIMEOUT_S) == []
+    fleet.record_message("agent-001", 20.0)
+    assert fleet.select_probed_members(21.0) == []
+
+
 def test_report_timeout_follows_the_report_interval() -> None:
     few, many = build_fleet(1), build_fleet(1)
     for number in range(30):
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
@@ -77,6 +77,7 @@
             core.fleet.collect_reachability_changes(self.now)
             core.fleet.remove_expired(self.now)
             core.fleet.select_due_members(0.25, self.now)
+            core.fleet.select_probed_members(self.now)
         self.balancer.expire_idle_homes(self.now, 60.0)
 
     @rule(number=addresses)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
@@ -1,8 +1,13 @@
-"""Placement and refusal of new flows."""
+"""Placement and refusal of new flows.
+
+Load pattern: an instance is lost in a large fleet, where its last report stays valid for seconds.
+"""
+
+import math
 
 from fescueseam.handshake.agent import OPENING_ANSWER_TIMEOUT_S
 from fescueseam.handshake.balancer import STARTUP_GRACE_S
-from fescueseam.handshake.members import Availability
+from fescueseam.handshake.members import Availability, Identity, Role
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S
 from fescueseam.handshake.rules import Outage, Route, RouteShare, Rules
 from fescueseam.handshake.tests.conftest import (
@@ -112,6 +117,23 @@
     assert count_openings(cluster, 13) == 1
 
 
+def test_lost_agent_of_a_large_fleet_is_offered_few_flows(cluster: Cluster) -> None:
+    balancer = cluster.nodes[1]
+    for number in range(30):
+        listed = Identity(f"balancer-{500 + number}", Role.BALANCER, 500 + number, "a")
+        balancer.fleet.add_listed(listed, cluster.now)
+    assert balancer.fleet.compute_report_timeout() > 3.0
+    cluster.disconnected.add(11)
+    gap_s = 0.02
+    offer_flows(cluster, round(2.9 / gap_s), gap_s)
+    offers = [item.fields["agent"] for item in cluster.events if item.event == "flow-offered"]
+    assert offers.count("agent-11") <= math.ceil(OFFER_TIMEOUT_S / gap_s) + 1
+    cluster.disconnected.clear()
+    cluster.run(0.5)
+    offer_flows(cluster, 20, first=1000)
+    assert count_openings(cluster, 11) > 0
+
+
 def test_flow_is_offered_elsewhere_if_backends_do_not_answer(cluster: Cluster) -> None:
     for address in (11, 12):
         cluster.backends[address].alive = False
