Report to members of other data centres less often

Cause: every agent reported to every balancer and every balancer to every member at least once a second.

Members of the own data centre get reports as before (0.25 s to 1 s). Other balancers get them every 1 s to 15 s, other agents every 10 s to 15 s, as agents need no more than to know that a balancer exists. Changes of a server's state and of the outage still go to all at once. An agent without a reachable balancer in its data centre is near to all. Timeouts follow the interval of each pair. Reports name members only when asked for them.

The bound of 2 kB/s a process at 300 machines is still missed (docs/CAPACITY.md): that takes relays.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -6,8 +6,9 @@
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import BackendMonitor, HeartbeatOutcome
-from fescueseam.handshake.members import MIN_AGENT_REPORT_INTERVAL_S, Availability
+from fescueseam.handshake.members import Availability, Role
 from fescueseam.handshake.notices import Locate, Report
+from fescueseam.handshake.report_intervals import MIN_AGENT_INTERVAL_S
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import Deregistration
 from fescueseam_daemon.handshake.ticker import TICK_INTERVAL_S, Ticker
@@ -135,7 +136,7 @@
 
     async def _maintain_membership(self) -> None:
         node = self.node
-        node.request_reports(self._build_report_request())
+        node.request_reports(self._build_report_request(requests_members=True))
         await node.register()
         allow_stale = False
         while True:
@@ -149,19 +150,22 @@
                 members = await node.list_members(allow_stale)
                 allow_stale = not allow_stale
                 now = trio.current_time()
-                for identity in members:
+                balancers = [item for item in members if item.role is Role.BALANCER]
+                for identity in balancers:
                     node.fleet.add_listed(identity, now)
-                node.request_reports(self._build_report_request(), members)
-                node.log_event("members-listed", {"count": len(members)})
+                node.request_reports(self._build_report_request(), balancers)
+                node.log_event("members-listed", {"count": len(balancers)})
             await trio.sleep(BALANCER_TIMEOUT_S / 2)
 
-    def _build_report_request(self) -> Report:
-        return self.core.build_report(trio.current_time(), requests_report=True)
+    def _build_report_request(self, requests_members: bool = False) -> Report:
+        return self.core.build_report(
+            trio.current_time(), requests_report=True, requests_members=requests_members
+        )
 
     async def _run_periodic_tasks(self) -> None:
         while True:
-            await trio.sleep(MIN_AGENT_REPORT_INTERVAL_S)
+            await trio.sleep(MIN_AGENT_INTERVAL_S)
             now = trio.current_time()
             self.node.execute(self.core.tick(now))
-            self.node.execute(self.core.report_to_due_balancers(MIN_AGENT_REPORT_INTERVAL_S, now))
+            self.node.execute(self.core.report_to_due_balancers(MIN_AGENT_INTERVAL_S, now))
             self.node.log_reachability_changes(now)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -181,7 +181,7 @@
         is_behind = body.rules_version < self.configuration.rules.version
         is_behind = is_behind or body.outage.revision < self.configuration.outage.revision
         if body.requests_report or (changed and is_behind):
-            requester_role = body.identity.role if body.requests_report else None
+            requester_role = body.identity.role if body.requests_members else None
             node.send_notice(
                 body.identity.address, self._build_report(requester_role=requester_role)
             )
@@ -193,7 +193,7 @@
     async def _maintain_membership(self) -> None:
         """Register this process and keep reading the member list, as members may start later."""
         node = self.node
-        node.request_reports(self._build_report(requests_report=True))
+        node.request_reports(self._build_report(requests_report=True, requests_members=True))
         members = await node.list_members(allow_stale=False)
         self._add_listed_members(members)
         await node.register()
@@ -254,7 +254,12 @@
         if self.configuration.update_rules(rules):
             fields = {"config": rules.version, "routes": len(rules.routes), "source": source}
             self.node.log_event("rules-taken", fields)
-            self._send_report()
+            fleet = self.node.fleet
+            self._send_report(
+                member
+                for member in list(fleet.members.values())
+                if member.identity.role is Role.BALANCER or fleet.is_near(member)
+            )
 
     def _apply_outage(self, outage: Outage, source: str) -> None:
         previous = self.configuration.outage.data_centres
@@ -320,11 +325,14 @@
             self.node.send_notice(member.identity.address, body)
 
     def _build_report(
-        self, requests_report: bool = False, requester_role: Role | None = None
+        self,
+        requests_report: bool = False,
+        requests_members: bool = False,
+        requester_role: Role | None = None,
     ) -> Report:
         """Return a report.
 
-        A reply to a member's request lists the reachable members that the requester's role uses.
+        A reply to a request for members lists the reachable ones that the requester's role uses.
         """
         now = trio.current_time()
         fleet = self.node.fleet
@@ -346,6 +354,7 @@
             ),
             known_members,
             requests_report,
+            requests_members,
         )
 
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -44,8 +44,8 @@
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of periodic maintenance, in seconds."""
 RECENTLY_HEARD_S = 2.2
-"""Time since a member's last message within which it is not asked for a report, in seconds: two of
-the longest report intervals and a margin."""
+"""Shortest time without a message after which a member is asked for a report, in seconds: two of
+the longest intervals of near members and a margin."""
 MIN_STORE_BACKOFF_S = 0.25
 """Shortest delay before a failed call of the store is retried, in seconds."""
 MAX_STORE_BACKOFF_S = 2.0
@@ -218,7 +218,8 @@
         recently_heard = {
             member.identity.address
             for member in self.fleet.members.values()
-            if now - member.last_heard_at < RECENTLY_HEARD_S
+            if now - member.last_heard_at
+            < max(RECENTLY_HEARD_S, self.fleet.compute_report_timeout(member))
         }
         for address in sorted(addresses - recently_heard):
             self.send_notice(address, report)
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -21,10 +21,17 @@
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
 from fescueseam.handshake.flows import Flow, FlowTable
-from fescueseam.handshake.members import Availability, Fleet, Load, Member, compute_service_tag
+from fescueseam.handshake.members import Availability, Fleet, Load, Member
 from fescueseam.handshake.notices import Holding, Locate, Located, Report
 from fescueseam.handshake.rules import Outage
-from fescueseam.handshake.segments import FlowId, Mark, Purpose, Segment, format_flow
+from fescueseam.handshake.segments import (
+    FlowId,
+    Mark,
+    Purpose,
+    Segment,
+    compute_service_tag,
+    format_flow,
+)
 
 OPENING_ANSWER_TIMEOUT_S = 0.04
 """Longest wait for the backend server's answer to an opening packet, in seconds. Then the packet
@@ -226,7 +233,9 @@
             leaving=self.leaving,
         )
 
-    def build_report(self, now: float, requests_report: bool = False) -> Report:
+    def build_report(
+        self, now: float, requests_report: bool = False, requests_members: bool = False
+    ) -> Report:
         """Return a report for balancers."""
         return Report(
             self.fleet.own,
@@ -234,6 +243,7 @@
             self.rules_version,
             self.outage,
             requests_report=requests_report,
+            requests_members=requests_members,
         )
 
     def report_to_all(self, now: float) -> Effects:
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -11,7 +11,7 @@
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
-from fescueseam.handshake.members import Availability, Fleet, Member, compute_service_tag
+from fescueseam.handshake.members import Availability, Fleet, Member
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
@@ -27,7 +27,14 @@
 )
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.searches import HomeSearch
-from fescueseam.handshake.segments import FlowId, Mark, Purpose, Segment, format_flow
+from fescueseam.handshake.segments import (
+    FlowId,
+    Mark,
+    Purpose,
+    Segment,
+    compute_service_tag,
+    format_flow,
+)
 
 HOMES_LIMIT = 65_536
 """Largest number of remembered homes; a search finds an evicted one again."""
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -20,14 +20,14 @@
 
 
 def is_eligible_for_flows(
-    member: Member, configuration: ActiveConfiguration, report_timeout_s: float, now: float
+    member: Member, fleet: Fleet, configuration: ActiveConfiguration, now: float
 ) -> bool:
     """Return whether an agent may be offered new flows."""
     return (
         member.load.availability in (Availability.READY, Availability.UNKNOWN)
         and not member.load.leaving
         and member.excluded_until <= now
-        and now - member.last_heard_at < report_timeout_s
+        and now - member.last_heard_at < fleet.compute_report_timeout(member)
         and member.unanswered_at is None
         and not configuration.is_data_centre_out(member.identity.data_centre)
     )
@@ -64,12 +64,11 @@
     remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S,
 ) -> Member | None:
     """Return the agent expected to serve a new flow soonest, or None if no agent is eligible."""
-    report_timeout_s = fleet.compute_report_timeout()
     candidates = [
         member
         for member in fleet.list_agents((service,))
         if member.identity.name not in excluded
-        and is_eligible_for_flows(member, configuration, report_timeout_s, now)
+        and is_eligible_for_flows(member, fleet, configuration, now)
     ]
     if not candidates:
         return None
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -115,6 +115,7 @@
     ):
         _write_identity(item, identity)
     target.asksBack = body.requests_report
+    target.asksMembers = body.requests_members
 
 
 def _read_report(source: Any) -> Report:
@@ -137,4 +138,5 @@
         cold_bounds=tuple((item.service, item.openingsPerS) for item in source.coldBounds),
         known_members=tuple(_read_identity(item) for item in source.others),
         requests_report=source.asksBack,
+        requests_members=source.asksMembers,
     )
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -7,7 +7,7 @@
 
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
-from fescueseam.handshake.members import Fleet, Member, compute_service_tag
+from fescueseam.handshake.members import Fleet, Member
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.searches import (
     HINT_TIMEOUT_S,
@@ -16,7 +16,14 @@
     SEARCHES_LIMIT,
     HomeSearch,
 )
-from fescueseam.handshake.segments import FlowId, Mark, Purpose, Segment, format_flow
+from fescueseam.handshake.segments import (
+    FlowId,
+    Mark,
+    Purpose,
+    Segment,
+    compute_service_tag,
+    format_flow,
+)
 
 FoundHandler = Callable[[HomeSearch, Member, Holding, float], Effects]
 """Handles a search whose home was found, given the home and its answer; returns the effects."""
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -1,7 +1,5 @@
 """Members of the system as one process knows them, from their reports and from lists."""
 
-import functools
-import hashlib
 import heapq
 import math
 from collections.abc import Iterable
@@ -9,28 +7,23 @@
 
 from attrs import define, field, frozen
 
-MIN_AGENT_REPORT_INTERVAL_S = 0.25
-"""Interval of an agent's reports to each balancer while there are few balancers, in seconds."""
-MIN_BALANCER_REPORT_INTERVAL_S = 0.5
-"""Interval of a balancer's reports to each member while there are few members, in seconds."""
-MAX_REPORT_INTERVAL_S = 1.0
-"""Longest interval of reports to a member, in seconds. At this interval, a member counts as
-unreachable after four missed reports."""
-MAX_AGENT_REPORTS_PER_S = 28.0
-"""Largest number of reports that an agent sends per second until the longest interval is reached:
-those to seven balancers at the shortest interval."""
-MAX_BALANCER_REPORTS_PER_S = 60.0
-"""Largest number of reports that a balancer sends per second until the longest interval is reached:
-those to thirty members at the shortest interval."""
-STALE_REPORT_INTERVALS = 3.2
-"""Number of report intervals without a report after which an agent gets no new flows: three missed
-reports and a margin for a late timer."""
+from fescueseam.handshake.report_intervals import (
+    MAX_FAR_INTERVAL_S,
+    MAX_NEAR_INTERVAL_S,
+    MISSED_REPORTS,
+    compute_far_agent_interval,
+    compute_far_balancer_interval,
+    compute_keepalive_interval,
+    compute_near_agent_interval,
+    compute_near_balancer_interval,
+)
+
 NEIGHBOUR_TIMEOUT_S = 2.2
 """Time without a message after which a balancer is not asked for the homes of flows, in seconds:
 two of the longest intervals and a margin."""
 MEMBER_TIMEOUT_S = 4.0
-"""Time without a message after which a member counts as unreachable, in seconds. A restart takes
-less."""
+"""Time without a message after which a near member counts as unreachable, in seconds. A restart
+takes less."""
 SHORT_MEMBER_TIMEOUT_S = 2.0
 """Timeout for a member that was only listed and for an agent without a backend server, in seconds.
 A process restarts within about a second, and the store may still list lost members."""
@@ -142,6 +135,10 @@
     _by_address: dict[int, Member] = field(factory=dict)
     _agents_by_service: dict[str, tuple[Member, ...]] = field(factory=dict)
     """Agents of each service, sorted by name; built on first use and cleared on changes."""
+    _balancers: tuple[Member, ...] | None = None
+    """All balancers; built on first use and cleared on changes."""
+    _served_data_centres: frozenset[str] = frozenset()
+    """Data centres in which a balancer was reachable at the last update of reachability."""
 
     def add_listed(self, identity: Identity, now: float) -> bool:
         """Add a member that a list names; return whether it is new."""
@@ -150,10 +147,11 @@
         known = self.members.get(identity.name)
         if known is not None and known.identity.address == identity.address:
             return False
-        if known is not None and known.last_heard_at > now - MEMBER_TIMEOUT_S:
-            return False
         holder = self.find_by_address(identity.address)
-        if holder is not None and holder.last_heard_at > now - MEMBER_TIMEOUT_S:
+        if any(
+            item is not None and not self._is_silent(item, MEMBER_TIMEOUT_S, now)
+            for item in (known, holder)
+        ):
             return False
         self._add(identity, now)
         return True
@@ -172,7 +170,7 @@
             ) != (load.availability, load.leaving)
             if known.identity != identity:
                 known.identity = identity
-                self._agents_by_service.clear()
+                self._clear_caches()
         else:
             known = self._add(identity, now)
             changed = True
@@ -216,9 +214,32 @@
             for member in self._agents_by_service.get(name, ())
         ]
 
-    def list_balancers(self) -> list[Member]:
+    def list_balancers(self) -> tuple[Member, ...]:
         """Return all known balancers."""
-        return [item for item in self.members.values() if item.identity.role is Role.BALANCER]
+        if self._balancers is None:
+            self._balancers = tuple(
+                item for item in self.members.values() if item.identity.role is Role.BALANCER
+            )
+        return self._balancers
+
+    def is_near(self, member: Member) -> bool:
+        """Return whether this process and a member exchange reports often.
+
+        They do within a data centre. An agent without a reachable balancer in its data centre is
+        near to all balancers.
+        """
+        if member.identity.data_centre == self.own.data_centre:
+            return True
+        if self.own.role is Role.AGENT:
+            return self.own.data_centre not in self._served_data_centres
+        return (
+            member.identity.role is Role.AGENT
+            and member.identity.data_centre not in self._served_data_centres
+        )
+
+    def compute_report_timeout(self, member: Member) -> float:
+        """Return the time without a report of a member after which one is overdue, in seconds."""
+        return MISSED_REPORTS * self._compute_interval_from(member)
 
     def list_neighbours(self, now: float) -> list[Member]:
         """Return the other balancers of this data centre that have sent a message lately."""
@@ -233,9 +254,8 @@
         """Return whether a member is silent past its timeout and so presumed to hold no flows."""
         if member.last_heard_at == -math.inf:
             return now - member.listed_at >= SHORT_MEMBER_TIMEOUT_S
-        return now - member.last_heard_at >= (
-            SHORT_MEMBER_TIMEOUT_S if member.is_without_backend() else MEMBER_TIMEOUT_S
-        )
+        shortest_s = SHORT_MEMBER_TIMEOUT_S if member.is_without_backend() else MEMBER_TIMEOUT_S
+        return self._is_silent(member, shortest_s, now)
 
     def collect_reachability_changes(self, now: float) -> list[Member]:
         """Return the members that became unreachable or reachable since the last call."""
@@ -245,6 +265,7 @@
             if unreachable is not member.reported_unreachable:
                 member.reported_unreachable = unreachable
                 changed.append(member)
+        self._update_served_data_centres()
         return changed
 
     def select_due_members(self, elapsed_s: float, now: float) -> list[Member]:
@@ -253,27 +274,17 @@
         Reports are spread over the interval, because a narrow link drops the last ones of a burst,
         which would always be those to the same members.
         """
-        if self.own.role is Role.AGENT:
-            members = [item for item in self.list_balancers() if not self.is_unreachable(item, now)]
-            interval_s = compute_agent_report_interval(len(members))
-        else:
-            members = list(self.members.values())
-            interval_s = compute_balancer_report_interval(len(members))
-        limit = math.ceil(len(members) * min(1.0, elapsed_s / interval_s))
-        due = heapq.nsmallest(limit, members, key=lambda item: item.last_report_sent_at)
-        # A tolerance of half a step keeps a late timer from skipping a member.
-        due_before = now - interval_s + elapsed_s / 2
-        due = [member for member in due if member.last_report_sent_at <= due_before]
+        due: list[Member] = []
+        for interval_s, members in self._group_receivers(now):
+            limit = math.ceil(len(members) * min(1.0, elapsed_s / interval_s))
+            oldest = heapq.nsmallest(limit, members, key=lambda item: item.last_report_sent_at)
+            # A tolerance of half a step keeps a late timer from skipping a member.
+            due_before = now - interval_s + elapsed_s / 2
+            due += [member for member in oldest if member.last_report_sent_at <= due_before]
         for member in due:
             member.last_report_sent_at = now
         return due
 
-    def compute_report_timeout(self) -> float:
-        """Return the time without a report after which an agent gets no new flow, in seconds."""
-        return STALE_REPORT_INTERVALS * compute_agent_report_interval(
-            len(self.list_balancers()) + 1
-        )
-
     def select_probed_members(self, now: float) -> list[Member]:
         """Return the members that are to be asked for a report now, and mark them as asked.
 
@@ -309,13 +320,71 @@
                 self._remove(earlier)
         member = Member(identity, now)
         self.members[identity.name] = self._by_address[identity.address] = member
-        self._agents_by_service.clear()
+        self._clear_caches()
         return member
 
     def _remove(self, member: Member) -> None:
         self.members.pop(member.identity.name, None)
         self._by_address.pop(member.identity.address, None)
+        self._clear_caches()
+
+    def _clear_caches(self) -> None:
         self._agents_by_service.clear()
+        self._balancers = None
+
+    def _is_silent(self, member: Member, shortest_s: float, now: float) -> bool:
+        silence_s = now - member.last_heard_at
+        return silence_s >= shortest_s and silence_s >= self.compute_report_timeout(member)
+
+    def _update_served_data_centres(self) -> None:
+        served = {
+            item.identity.data_centre
+            for item in self.list_balancers()
+            if not item.reported_unreachable
+        }
+        if self.own.role is Role.BALANCER:
+            served.add(self.own.data_centre)
+        self._served_data_centres = frozenset(served)
+
+    def _group_receivers(self, now: float) -> list[tuple[float, list[Member]]]:
+        """Return the members that get reports, grouped by the interval of the reports."""
+        if self.own.role is Role.AGENT:
+            balancers = [
+                item for item in self.list_balancers() if not self.is_unreachable(item, now)
+            ]
+            near, far = self._split(balancers)
+            return [
+                (compute_near_agent_interval(len(near)), near),
+                (compute_far_agent_interval(len(far)), far),
+            ]
+        near, far = self._split(self.members.values())
+        far_balancers = [item for item in self.list_balancers() if not self.is_near(item)]
+        far_agents = [item for item in far if item.identity.role is Role.AGENT]
+        return [
+            (compute_near_balancer_interval(len(near)), near),
+            (compute_far_balancer_interval(len(far_balancers)), far_balancers),
+            (compute_keepalive_interval(len(far_agents)), far_agents),
+        ]
+
+    def _split(self, members: Iterable[Member]) -> tuple[list[Member], list[Member]]:
+        near: list[Member] = []
+        far: list[Member] = []
+        for member in members:
+            (near if self.is_near(member) else far).append(member)
+        return near, far
+
+    def _compute_interval_from(self, member: Member) -> float:
+        """Return the longest interval at which a member reports to this process, in seconds."""
+        balancers = len(self.list_balancers()) + 1
+        if self.is_near(member):
+            if member.identity.role is Role.BALANCER:
+                return MAX_NEAR_INTERVAL_S
+            return compute_near_agent_interval(balancers)
+        if member.identity.role is Role.AGENT:
+            return compute_far_agent_interval(balancers)
+        if self.own.role is Role.AGENT:
+            return MAX_FAR_INTERVAL_S
+        return compute_far_balancer_interval(balancers)
 
     def _group_agents(self) -> dict[str, tuple[Member, ...]]:
         groups: dict[str, list[Member]] = {}
@@ -325,24 +394,6 @@
         return {service: tuple(group) for service, group in groups.items()}
 
 
-def compute_agent_report_interval(balancers: int) -> float:
-    """Return the interval of an agent's reports to each balancer, in seconds."""
-    spread_s = balancers / MAX_AGENT_REPORTS_PER_S
-    return min(MAX_REPORT_INTERVAL_S, max(MIN_AGENT_REPORT_INTERVAL_S, spread_s))
-
-
-def compute_balancer_report_interval(members: int) -> float:
-    """Return the interval of a balancer's reports to each member, in seconds."""
-    spread_s = members / MAX_BALANCER_REPORTS_PER_S
-    return min(MAX_REPORT_INTERVAL_S, max(MIN_BALANCER_REPORT_INTERVAL_S, spread_s))
-
-
 def compute_age_ms(heard_at: float, now: float) -> int | None:
     """Return an age in milliseconds; None if the time is -infinity, which stands for never."""
     return None if heard_at == -math.inf else round((now - heard_at) * 1000)
-
-
-@functools.lru_cache(maxsize=4096)
-def compute_service_tag(service: str) -> int:
-    """Return the 16-bit hash of a service name for packet marks."""
-    return int.from_bytes(hashlib.blake2b(service.encode(), digest_size=2).digest())
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -32,9 +32,11 @@
     cold_bounds: tuple[tuple[str, float], ...] = ()
     """Largest number of openings per second for a cold backend server, by service."""
     known_members: tuple[Identity, ...] = ()
-    """Members that a balancer considers reachable; named only in a requested report."""
+    """Members that a balancer considers reachable; named only on request."""
     requests_report: bool = False
     """Whether the receiver should reply with a report."""
+    requests_members: bool = False
+    """Whether the reply should name the members that the receiver knows."""
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -47,6 +47,7 @@
   coldBounds @5 :List(ColdBound);
   others @6 :List(Identity);
   asksBack @7 :Bool;
+  asksMembers @8 :Bool;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/handshake/segments.py
+++ b/packages/fescueseam/src/fescueseam/handshake/segments.py
@@ -1,5 +1,7 @@
 """Packets of flows that open with a handshake, and the marks that processes add to them."""
 
+import functools
+import hashlib
 from enum import IntEnum
 from typing import Protocol
 
@@ -129,3 +131,9 @@
 def is_sequence_after(sequence: int, reference: int) -> bool:
     """Return whether a sequence number follows another one, taking wrapping into account."""
     return 0 < (sequence - reference) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
+
+
+@functools.lru_cache(maxsize=4096)
+def compute_service_tag(service: str) -> int:
+    """Return the 16-bit hash of a service name for packet marks."""
+    return int.from_bytes(hashlib.blake2b(service.encode(), digest_size=2).digest())
