Keep a second copy of the store's answer from being taken for another one

Cause, read from the code and shown by tests: the HTTP client put a connection back for reuse although data waited on it, and all calls of the store shared the idle connections. A second copy of an answer, sent late, was then taken for the answer to the next call: a list of the configuration named data centres that are out, and the answer to an earlier watch brought back a data centre that had been taken back in.

An idle connection on which data wait is closed.

Ruled out: a copy between callers and backend servers. The system passes on packets and does not read them; the two ends match their sequence numbers.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_web.py
@@ -1,5 +1,6 @@
-"""The HTTP client when the server closes idle connections or answers nothing."""
+"""The HTTP client when the server closes idle connections, or answers nothing or twice."""
 
+import contextlib
 import os
 from collections.abc import Awaitable, Callable
 
@@ -10,7 +11,13 @@
 
 ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.2"
 PORT = 8181
-RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+def build_response(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+RESPONSE = build_response(b"{}")
 
 
 async def run_with_server(
@@ -65,3 +72,23 @@
 
     trio.run(run_with_server, serve, use)
     assert len(received) == 2
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_second_copy_of_an_answer_is_not_taken_for_the_next_one(delay_s: float) -> None:
+    async def serve(stream: trio.SocketStream) -> None:
+        """Answer each request with its path, twice."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            async for request in stream:
+                copy = build_response(request.split()[1])
+                await stream.send_all(copy if delay_s else 2 * copy)
+                if delay_s:
+                    await trio.sleep(delay_s)
+                    await stream.send_all(copy)
+
+    async def use(client: HttpClient) -> None:
+        for path in ("/a", "/b", "/c"):
+            assert (await client.request("GET", path, None, 2.0)).body == path.encode()
+            await trio.sleep(2 * delay_s)
+
+    trio.run(run_with_server, serve, use)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -177,7 +177,8 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
             raise
-        if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+        is_reusable = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        if is_reusable and not conn.trailing_data[0]:
             conn.start_next_cycle()
             if len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
                 self._idle_connections.append((conn, stream))
@@ -186,8 +187,12 @@
         return response
 
     async def _acquire_connection(self) -> tuple[h11.Connection, trio.SocketStream]:
-        if self._idle_connections:
-            return self._idle_connections.pop()
+        while self._idle_connections:
+            conn, stream = self._idle_connections.pop()
+            if not await _has_unread_data(stream):
+                return conn, stream
+            # A second copy of an answer would be taken as the answer to the next request.
+            await trio.aclose_forcefully(stream)
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 sock = trio.socket.socket()
@@ -204,6 +209,16 @@
         return h11.Connection(h11.CLIENT), trio.SocketStream(sock)
 
 
+async def _has_unread_data(stream: trio.SocketStream) -> bool:
+    """Return whether data or an error wait on a connection; the end of the data does not count."""
+    if not stream.socket.is_readable():
+        return False
+    try:
+        return bool(await stream.socket.recv(1, trio.socket.MSG_PEEK))
+    except OSError:
+        return True
+
+
 async def _receive_first(stream: trio.SocketStream) -> bytes:
     try:
         data = await stream.receive_some(RECEIVE_CHUNK_BYTES)
