Answer the flows that an agent has accepted before it stops

Cause, read from the code and shown by a test: a stopping agent waited for pending requests only. A flow that it had admitted a few milliseconds before has no request yet, so the agent ended between the handshake and the first request, which then waited for the agent's next start. Requests that queued at the server for longer than 0.15 s were cut off as well; their answers were sent again only after the restart.

The stop now waits for flows in their handshake too, and for up to 1 s, the time that a full queue of short requests takes. It ends at once when nothing is at work or when the server has deregistered.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -14,9 +14,9 @@
 from fescueseam_daemon.handshake.ticker import TICK_INTERVAL_S, Ticker
 from fescueseam_daemon.handshake.web import Request, Response, build_readiness_response
 
-SHUTDOWN_GRACE_S = 0.15
-"""Longest time that a shutdown waits for requests in progress, in seconds. The backend server sends
-the remaining answers again to the next agent."""
+SHUTDOWN_GRACE_S = 1.0
+"""Longest time that a shutdown waits for accepted requests, in seconds: a full queue of short ones.
+The backend server sends the remaining answers again to the next agent."""
 STORE_WITHDRAW_TIMEOUT_S = 0.5
 """Longest time that a shutdown waits for the store to remove the agent's entry, in seconds."""
 BALANCER_TIMEOUT_S = 2.0
@@ -65,10 +65,10 @@
                 nursery.start_soon(node.barrier.keep_running, place, loop)
 
     async def shut_down(self) -> None:
-        """Stop admitting flows and wait briefly for requests in progress."""
+        """Stop admitting flows and wait for accepted ones to be answered."""
         self.node.execute(self.core.start_shutdown(trio.current_time()))
         with trio.move_on_after(SHUTDOWN_GRACE_S):
-            while self.core.flows.busy:
+            while self.core.has_accepted_work(trio.current_time()):
                 await trio.sleep(TICK_INTERVAL_S)
         if self.core.backend.availability is Availability.LEFT:
             await self._withdraw_from_store()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
@@ -37,19 +37,27 @@
         return fail
 
 
+def build_node(own: Identity, **changes: Any) -> Node:
+    """Return the node of a process on loopback."""
+    values = {**VALUES, "role": own.role.value, "address": ADDRESS, "peer_port": PEER_PORT}
+    settings = parse_settings(json.dumps({**values, **changes}), str(Path("settings.json")))
+    return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def agent_node() -> Node:
+    """Return the node of an agent."""
+    return build_node(Identity("agent-1", Role.AGENT, 2, "a", "alerts"))
+
+
 @pytest.fixture
 def node() -> Node:
     """Return the node of a balancer on loopback."""
     changes = {
-        "role": "balancer",
-        "address": ADDRESS,
-        "peer_port": PEER_PORT,
         "packets": f"{ADDRESS}:8172",
         "readiness": f"{ADDRESS}:8167",
         "heartbeats": "",
         "answers": "",
         "seeds": [],
     }
-    settings = parse_settings(json.dumps({**VALUES, **changes}), str(Path("settings.json")))
-    own = Identity("balancer-1", Role.BALANCER, 1, "a")
-    return Node(settings, NoPlatform(), EventLog(20.0), random.Random(1), own)  # type: ignore[arg-type]
+    return build_node(Identity("balancer-1", Role.BALANCER, 1, "a"), **changes)
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -216,6 +216,11 @@
         self.leaving = True
         return self.report_to_all(now)
 
+    def has_accepted_work(self, now: float) -> bool:
+        """Return whether a stop now would cut off a request or an accepted flow."""
+        has_left = self.backend.compute_availability(now) is Availability.LEFT
+        return not has_left and self.flows.count_at_work(now) > 0
+
     def describe_load(self, now: float) -> Load:
         """Return the load for the next report."""
         self._update_utilisation(now)
@@ -344,7 +349,7 @@
         ):
             return "cold"
         slots = heartbeat.slots if heartbeat is not None else 1
-        busy = self.flows.busy + self.flows.count_handshakes(now)
+        busy = self.flows.count_at_work(now)
         limit = slots * (
             OVERFLOW_REQUESTS_PER_SLOT if purpose is Purpose.DELIVER_EVEN_IF_BUSY else 1
         )
--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -152,6 +152,10 @@
         """Return the number of flows that have not ended."""
         return sum(1 for entry in self.flows.values() if not entry.ended)
 
+    def count_at_work(self, now: float) -> int:
+        """Return the number of flows with a pending request or in their handshake."""
+        return self.busy + self.count_handshakes(now)
+
     def count_handshakes(self, now: float) -> int:
         """Return the number of new flows whose first request is still expected."""
         count = 0
