Let three balancers of each data centre watch the store

Three of each data centre watch, ranked by a hash of the names that were heard within 2.2 s. The others take the outage from reports and read a newer configuration from the store, or from a peer if that fails. A balancer that hears nobody nearby watches. Small deployments, with up to three balancers a data centre, stay as they are.

Ruled out: fetching the configuration from peers first, which would fill a 10 Mbit/s link with 44 copies of a large one.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -13,6 +13,7 @@
 from fescueseam.handshake.notices import Locate, Located, Report
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
+from fescueseam.handshake.watchers import is_watcher
 from fescueseam_daemon.handshake.node import HTTP_PORT_OFFSET, MAINTENANCE_INTERVAL_S, Node
 from fescueseam_daemon.handshake.platform_interface import OutageChanges
 from fescueseam_daemon.handshake.rules_codec import decode_rules, encode_rules
@@ -31,6 +32,9 @@
 STORE_WATCH_TIMEOUT_S = 5.0
 """Time for which the store holds a watch open, in seconds. It bounds how long a silent connection
 goes unnoticed."""
+WATCHER_CHECK_INTERVAL_S = 0.25
+"""Interval at which a balancer that does not watch the store checks whether it has to, in
+seconds."""
 PEER_FETCH_TIMEOUT_S = 1.0
 """Timeout for fetching a configuration from another balancer, in seconds."""
 PEER_FETCH_DELAY_S = 0.15
@@ -223,6 +227,7 @@
                 if revision is None:
                     snapshot = await node.store.read_rules()
                 else:
+                    await self._wait_until_watcher()
                     snapshot = await node.store.watch_rules(revision, STORE_WATCH_TIMEOUT_S)
             except StoreError as exc:
                 revision = None
@@ -241,6 +246,7 @@
                 if outage is None:
                     outage = await node.store.read_outage()
                 else:
+                    await self._wait_until_watcher()
                     changes = await node.store.watch_outage(outage.revision, STORE_WATCH_TIMEOUT_S)
                     outage = _apply_changes(outage, changes)
             except StoreError as exc:
@@ -250,6 +256,10 @@
             node.store_status.record_success(trio.current_time())
             self._apply_outage(outage, "store")
 
+    async def _wait_until_watcher(self) -> None:
+        while not is_watcher(self.node.fleet, trio.current_time()):
+            await trio.sleep(WATCHER_CHECK_INTERVAL_S)
+
     def _apply_rules(self, rules: Rules, source: str) -> None:
         if self.configuration.update_rules(rules):
             fields = {"config": rules.version, "routes": len(rules.routes), "source": source}
@@ -273,10 +283,33 @@
             self._send_report()
 
     async def _fetch_rules(self, body: Report) -> None:
+        """Fetch the configuration that another balancer has reported.
+
+        A balancer that watches the store would have it by now if it reached the store.
+        """
         await trio.sleep(PEER_FETCH_DELAY_S)
-        if self.configuration.rules.version >= body.rules_version:
+        try:
+            is_behind = self.configuration.rules.version < body.rules_version
+            if is_behind and not is_watcher(self.node.fleet, trio.current_time()):
+                await self._read_rules_again()
+            if self.configuration.rules.version < body.rules_version:
+                await self._fetch_rules_from(body.identity)
+        finally:
+            if self._fetching_version == body.rules_version:
+                self._fetching_version = 0
+
+    async def _read_rules_again(self) -> None:
+        node = self.node
+        try:
+            snapshot = await node.store.read_rules()
+        except StoreError as exc:
+            node.store_status.record_failure(exc, trio.current_time())
             return
-        peer = body.identity
+        node.store_status.record_success(trio.current_time())
+        if snapshot.rules is not None:
+            self._apply_rules(snapshot.rules, "store")
+
+    async def _fetch_rules_from(self, peer: Identity) -> None:
         port = self.node.settings.peer_port + HTTP_PORT_OFFSET
         client = HttpClient(format_address(peer.address), port)
         try:
@@ -285,8 +318,6 @@
         except (StoreError, MessageError) as exc:
             self.node.log_event("rules-not-fetched", {"peer": peer.name, "cause": str(exc)})
         finally:
-            if self._fetching_version == body.rules_version:
-                self._fetching_version = 0
             await client.close()
 
     async def _handle_readiness_request(self, request: Request) -> Response:
