--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -6,7 +6,7 @@
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import BackendMonitor, HeartbeatOutcome
-from fescueseam.handshake.members import Availability, Role
+from fescueseam.handshake.member import Availability, Role
 from fescueseam.handshake.notices import Locate, Report
 from fescueseam.handshake.report_intervals import MIN_AGENT_INTERVAL_S
 from fescueseam_daemon.handshake.node import Node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -9,7 +9,7 @@
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.balancer import STARTUP_GRACE_S, Balancer
 from fescueseam.handshake.containment import contain
-from fescueseam.handshake.members import Identity, Load, Member, Role
+from fescueseam.handshake.member import Identity, Load, Member, Role
 from fescueseam.handshake.notices import Locate, Located, Report
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -21,7 +21,8 @@
     SendReset,
     SendToCaller,
 )
-from fescueseam.handshake.members import Fleet, Identity
+from fescueseam.handshake.member import Identity
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Notice, NoticeBody, Report
 from fescueseam.handshake.segments import Segment, format_address, parse_address
 from fescueseam.retries.backoff import compute_backoff
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from fescueseam.handshake.backend import Heartbeat
-from fescueseam.handshake.members import Identity
+from fescueseam.handshake.member import Identity
 from fescueseam.handshake.rules import Outage, Rules
 from fescueseam.handshake.segments import PacketFormat
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -9,7 +9,7 @@
 from attrs import fields as attrs_fields
 
 from fescueseam.exceptions import SettingsError
-from fescueseam.handshake.members import Identity, Role
+from fescueseam.handshake.member import Identity, Role
 from fescueseam.handshake.segments import parse_address
 from fescueseam_daemon.handshake.agent import AgentProcess
 from fescueseam_daemon.handshake.balancer import BalancerProcess
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -10,7 +10,7 @@
 from fescueseam.checks.faults import Fault, FaultId, has_errors
 from fescueseam.exceptions import SettingsError
 from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S
-from fescueseam.handshake.members import Role
+from fescueseam.handshake.member import Role
 from fescueseam.handshake.segments import parse_address
 
 MAX_PORT = 65_535
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fescueseam.handshake.members import Identity, Role
+from fescueseam.handshake.member import Identity, Role
 from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.settings import parse_settings
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_containment.py
@@ -10,7 +10,8 @@
 
 from fescueseam.handshake.codec import encode_notice
 from fescueseam.handshake.effects import LogEvent, Observe
-from fescueseam.handshake.members import Fleet, Identity, Load, Role
+from fescueseam.handshake.member import Identity, Load, Role
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Notice, Report
 from fescueseam_daemon.handshake.balancer import BalancerProcess
 from fescueseam_daemon.handshake.node import Node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_reports.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_reports.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from fescueseam.handshake.members import Availability, Identity, Load, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.notices import NoticeBody, Report
 from fescueseam_daemon.handshake.balancer import REPORT_BATCH_INTERVAL_S, BalancerProcess
 from fescueseam_daemon.handshake.node import Node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fescueseam.exceptions import SettingsError
-from fescueseam.handshake.members import Role
+from fescueseam.handshake.member import Role
 from fescueseam_daemon.handshake.settings import SocketAddress, parse_settings
 
 VALUES: dict[str, Any] = {
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_shutdown.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_shutdown.py
@@ -10,7 +10,7 @@
 
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import Heartbeat
-from fescueseam.handshake.members import Availability
+from fescueseam.handshake.member import Availability
 from fescueseam.handshake.segments import Mark, Purpose, Segment, compute_service_tag
 from fescueseam.handshake.tests.conftest import (
     build_backend_segment,
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_store_watch.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_store_watch.py
@@ -11,7 +11,7 @@
 from trio.testing import MockClock
 
 from fescueseam.exceptions import StoreError
-from fescueseam.handshake.members import Identity, Load, Role
+from fescueseam.handshake.member import Identity, Load, Role
 from fescueseam.handshake.notices import Report
 from fescueseam.handshake.rules import Outage, Rules
 from fescueseam.handshake.watchers import WATCHERS_PER_DATA_CENTRE, is_watcher
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -21,7 +21,8 @@
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
 from fescueseam.handshake.flows import Flow, FlowTable
-from fescueseam.handshake.members import Availability, Fleet, Load, Member
+from fescueseam.handshake.member import Availability, Load, Member
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located, Report
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import (
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -6,7 +6,7 @@
 from attrs import define, field, frozen
 
 from fescueseam.handshake.cold_start import ColdStartLimiter
-from fescueseam.handshake.members import Availability, compute_age_ms
+from fescueseam.handshake.member import Availability, compute_age_ms
 
 PREVIOUS_STARTS_LIMIT = 16
 """Largest number of previous starts that are remembered to recognise their delayed heartbeats."""
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -11,7 +11,8 @@
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
-from fescueseam.handshake.members import Availability, Fleet, Member
+from fescueseam.handshake.member import Availability, Member
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Collection
 
-from fescueseam.handshake.members import Availability, Fleet, Member
+from fescueseam.handshake.member import Availability, Member
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.rules import ActiveConfiguration
 
 DEFAULT_SERVICE_TIME_S = 0.05
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -6,7 +6,7 @@
 import capnp
 
 from fescueseam.exceptions import MessageError
-from fescueseam.handshake.members import Availability, Identity, Load, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.notices import Holding, Locate, Located, Notice, NoticeBody, Report
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import FlowId
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -7,7 +7,8 @@
 
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
-from fescueseam.handshake.members import Fleet, Member
+from fescueseam.handshake.member import Member
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.searches import (
     HINT_TIMEOUT_S,
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from fescueseam.handshake.members import Identity, Load
+from fescueseam.handshake.member import Identity, Load
 from fescueseam.handshake.rules import NO_OUTAGE, Outage
 from fescueseam.handshake.segments import FlowId
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -20,7 +20,8 @@
     SendReset,
     SendToCaller,
 )
-from fescueseam.handshake.members import Availability, Fleet, Identity, Load, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Locate, Located, Report
 from fescueseam.handshake.rules import (
     ActiveConfiguration,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
@@ -10,7 +10,7 @@
     HeartbeatOutcome,
 )
 from fescueseam.handshake.cold_start import ColdStartLimiter
-from fescueseam.handshake.members import Availability
+from fescueseam.handshake.member import Availability
 
 HEARTBEAT = Heartbeat("b-1", 1000, 4, "alerts", Availability.READY, 2)
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -6,7 +6,7 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.codec import decode_notice, encode_notice
-from fescueseam.handshake.members import Availability, Identity, Load, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.notices import Holding, Locate, Located, Notice, Report
 from fescueseam.handshake.rules import Outage
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_containment.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_containment.py
@@ -8,7 +8,8 @@
 from fescueseam.handshake.backend import BackendMonitor
 from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.finder import HomeFinder
-from fescueseam.handshake.members import Fleet, Identity, Role
+from fescueseam.handshake.member import Identity, Role
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Located
 from fescueseam.handshake.tests.conftest import (
     ALERTS,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
@@ -7,15 +7,11 @@
 import math
 
 import pytest
+from attrs import evolve
 
-from fescueseam.handshake.members import (
-    MEMBER_TIMEOUT_S,
-    Availability,
-    Fleet,
-    Identity,
-    Load,
-    Role,
-)
+from fescueseam.handshake.choice import choose_agent
+from fescueseam.handshake.member import Availability, Identity, Load, Member, Role
+from fescueseam.handshake.members import MEMBER_TIMEOUT_S, Fleet
 from fescueseam.handshake.report_intervals import (
     FAR_AGENT_REPORTS_PER_S,
     MAX_FAR_INTERVAL_S,
@@ -83,6 +79,24 @@
     assert fleet.select_probed_members(21.0) == []
 
 
+@pytest.mark.parametrize("before", [Availability.DRAINING, Availability.LEFT])
+def test_restarted_agent_does_not_bring_back_a_server_that_leaves(before: Availability) -> None:
+    cluster = Cluster()
+    balancer = cluster.add_balancer(1)
+    identity = Identity("agent-11", Role.AGENT, 11, "a", ALERTS, 1)
+
+    def choose() -> Member | None:
+        return choose_agent(balancer.fleet, balancer.configuration, ALERTS, (), 1.0)
+
+    balancer.fleet.record_report(identity, Load(before, slots=1), 9, 1.0)
+    assert choose() is None
+    restarted = evolve(identity, incarnation=2)
+    balancer.fleet.record_report(restarted, Load(Availability.UNKNOWN, slots=1), 1, 1.0)
+    assert choose() is None
+    balancer.fleet.record_report(restarted, Load(Availability.READY, slots=1), 2, 1.0)
+    assert choose() is not None
+
+
 def test_report_timeout_follows_the_report_interval() -> None:
     few, many = build_fleet(1), build_fleet(1)
     for number in range(30):
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
@@ -14,7 +14,8 @@
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat
 from fescueseam.handshake.balancer import HOMES_LIMIT, Balancer
 from fescueseam.handshake.effects import Effects, LogEvent
-from fescueseam.handshake.members import Availability, Fleet, Identity, Load, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
+from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located, Report
 from fescueseam.handshake.openings import DEFERRED_LIMIT
 from fescueseam.handshake.rules import ActiveConfiguration, Outage
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
@@ -7,7 +7,7 @@
 
 from fescueseam.handshake.agent import OPENING_ANSWER_TIMEOUT_S
 from fescueseam.handshake.balancer import STARTUP_GRACE_S
-from fescueseam.handshake.members import Availability, Identity, Role
+from fescueseam.handshake.member import Availability, Identity, Role
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S
 from fescueseam.handshake.rules import Outage, Route, RouteShare, Rules
 from fescueseam.handshake.tests.conftest import (
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -1,6 +1,7 @@
 """Recovery after all instances lose power at once, while callers keep sending."""
 
-from fescueseam.handshake.members import SHORT_MEMBER_TIMEOUT_S, Availability, Identity, Role
+from fescueseam.handshake.member import Availability, Identity, Role
+from fescueseam.handshake.members import SHORT_MEMBER_TIMEOUT_S
 from fescueseam.handshake.openings import (
     DEFERRED_RETRIES_PER_TICK,
     DEFERRED_TIMEOUT_S,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_watchers.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_watchers.py
@@ -5,14 +5,8 @@
 
 import pytest
 
-from fescueseam.handshake.members import (
-    NEIGHBOUR_TIMEOUT_S,
-    Availability,
-    Fleet,
-    Identity,
-    Load,
-    Role,
-)
+from fescueseam.handshake.member import Availability, Identity, Load, Role
+from fescueseam.handshake.members import NEIGHBOUR_TIMEOUT_S, Fleet
 from fescueseam.handshake.watchers import WATCHERS_PER_DATA_CENTRE, is_watcher
 
 
--- a/packages/fescueseam/src/fescueseam/handshake/watchers.py
+++ b/packages/fescueseam/src/fescueseam/handshake/watchers.py
@@ -2,7 +2,8 @@
 
 import hashlib
 
-from fescueseam.handshake.members import Fleet, Identity
+from fescueseam.handshake.member import Identity
+from fescueseam.handshake.members import Fleet
 
 WATCHERS_PER_DATA_CENTRE = 3
 """Number of balancers of each data centre that watch the store, so that its calls do not grow with
