Count the messages between processes by direction and body

What reports and questions cost could be worked out only. The metrics have their number and bytes now, and the line `stopped` the numbers of the whole run.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/events.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/events.py
@@ -91,8 +91,17 @@
     """Number of observations per histogram bucket, by metric and service; the last has no bound."""
     sums: Counter[tuple[str, str]] = field(factory=Counter)
     """Sum of the observed values, by metric and service."""
+    messages: Counter[tuple[str, str]] = field(factory=Counter)
+    """Number of messages between processes, by direction and body."""
+    message_bytes: Counter[tuple[str, str]] = field(factory=Counter)
+    """Bytes of messages between processes without their headers, by direction and body."""
     _token_buckets: dict[str, _TokenBucket] = field(factory=dict)
 
+    def count_message(self, direction: str, body: str, size_bytes: int) -> None:
+        """Count a message between processes."""
+        self.messages[direction, body] += 1
+        self.message_bytes[direction, body] += size_bytes
+
     def log_event(self, event: str, fields: dict[str, Any], now: float) -> None:
         """Count an event, and log it unless its rate limit is exceeded."""
         self.counts[event, str(fields.get("reason", ""))] += 1
@@ -141,19 +150,27 @@
         dropped = CounterMetricFamily("fescueseam_log_lines_left_out", "Lines without a reader.")
         dropped.add_metric((), dropped_lines)
         families.append(dropped)
+        for name, text, counter in (
+            ("messages", "Messages between processes.", self.messages),
+            ("message_bytes", "Bytes of messages between processes.", self.message_bytes),
+        ):
+            family = CounterMetricFamily(f"fescueseam_{name}", text, labels=("direction", "body"))
+            for labels, count in counter.items():
+                family.add_metric(labels, count)
+            families.append(family)
         for name, value in gauges.items():
             families.append(GaugeMetricFamily(f"fescueseam_{name}", name, value=value))
         metrics = {metric for metric, _ in self.bucket_counts}
         for metric in sorted(metrics):
-            family = HistogramMetricFamily(
+            histogram = HistogramMetricFamily(
                 f"fescueseam_{metric}", f"Distribution of {metric}.", labels=("service",)
             )
             for (name, service), counts in self.bucket_counts.items():
                 if name == metric:
-                    family.add_metric(
+                    histogram.add_metric(
                         (service,), _cumulate(counts), sum_value=self.sums[name, service]
                     )
-            families.append(family)
+            families.append(histogram)
 
         class _Collector:
             def collect(self) -> list[Any]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -165,9 +165,11 @@
             return None
 
     def decode_notice(self, data: bytes, sender: str) -> Notice | None:
-        """Decode a notice; log a malformed one and return None."""
+        """Decode and count a notice; log a malformed one and return None."""
         try:
-            return decode_notice(data)
+            notice = decode_notice(data)
+            self.events.count_message("received", type(notice.body).__name__.lower(), len(data))
+            return notice
         except MessageError as exc:
             fields = {"reason": exc.kind.value, "sender": sender, "cause": str(exc)}
             self.log_event("notice-malformed", fields)
@@ -180,7 +182,9 @@
             notice = Notice(self.own.name, self.own.incarnation, self._sequence, body)
             self._last_encoded = (body, encode_notice(notice))
         port = self.settings.peer_port + NOTICE_PORT_OFFSET
-        self.notice_socket.send(self._last_encoded[1], format_address(address), port)
+        data = self._last_encoded[1]
+        self.events.count_message("sent", type(body).__name__.lower(), len(data))
+        self.notice_socket.send(data, format_address(address), port)
 
     def record_report(self, body: Report, sequence: int, now: float) -> bool:
         """Record a report and the members that it names; return whether anything changed."""
@@ -279,6 +283,10 @@
             "datagrams_not_sent": float(sum(sock.unsent_datagrams for sock in sockets)),
         }
 
+    def describe_messages(self) -> dict[str, int]:
+        """Return the number of messages by direction and body, for the log."""
+        return {"-".join(labels): count for labels, count in sorted(self.events.messages.items())}
+
     def _record_failure(self, place: str, exc: Exception) -> None:
         event = build_failure_event(place, exc)
         self.log_event(event.event, event.fields)
@@ -288,6 +296,7 @@
         if isinstance(effect, Forward):
             data = packets.set_mark(effect.segment, effect.mark, effect.returned)
             port = self.settings.peer_port + PACKET_PORT_OFFSET
+            self.events.count_message("sent", "packet", len(data))
             self.peer_socket.send(data, format_address(effect.address), port)
         elif isinstance(effect, Deliver):
             backend = self.settings.backend
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -64,7 +64,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             await node.close()
-            node.log_event("stopped", fields)
+            node.log_event("stopped", {**fields, "messages": node.describe_messages()})
 
 
 def reload_settings(path: Path, node: Node) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_events.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_events.py
@@ -104,3 +104,14 @@
     assert 'fescueseam_service_seconds_bucket{le="0.03",service="alerts"} 2.0' in text
     assert 'fescueseam_service_seconds_count{service="alerts"} 3.0' in text
     assert "fescueseam_members 3.0" in text
+
+
+def test_messages_are_counted_by_direction_and_body() -> None:
+    events = EventLog(10.0)
+    for _ in range(3):
+        events.count_message("sent", "report", 160)
+    events.count_message("received", "locate", 60)
+    text = events.render({}).decode()
+    assert 'fescueseam_messages_total{body="report",direction="sent"} 3.0' in text
+    assert 'fescueseam_message_bytes_total{body="report",direction="sent"} 480.0' in text
+    assert 'fescueseam_messages_total{body="locate",direction="received"} 1.0' in text
