--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -93,6 +93,10 @@
     peak_busy: int = 0
     served: int = 0
 
+    def accepts(self, flow: FlowId, segment: Segment) -> bool:
+        """Return whether a packet belongs to a known flow; 0 acknowledges any handshake."""
+        return self.flows[flow] or segment.acknowledgement in (0, self.sequences[flow])
+
 
 @define(eq=False)
 class Cluster:
@@ -321,7 +325,7 @@
             sequence = backend.sequences[flow] - 1
             opening = build_backend_segment(flow, opens=True, sequence=sequence)
             self._send_from_backend(address, opening)
-        elif flow not in backend.flows:
+        elif flow not in backend.flows or not backend.accepts(flow, segment):
             backend.misrouted_packets[flow] += 1
             self._send_from_backend(address, evolve(segment, returned=True))
         else:
