Weigh a server of another data centre like 20 ms of waiting

Cause: bytes between data centres are dear, and a server there counted only 4 ms more, about what the round trips take. All bytes of the flow then cross as well.

--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -8,7 +8,7 @@
 
 DEFAULT_SERVICE_TIME_S = 0.05
 """Service time assumed for a backend server that has served no request yet, in seconds."""
-DEFAULT_REMOTE_PENALTY_S = 0.004
+DEFAULT_REMOTE_PENALTY_S = 0.02
 """Default delay added for a backend server in another data centre, in seconds."""
 COLD_SERVICE_TIME_FACTOR = 3.0
 """Factor on the service time of a cold backend server, which is slow and can take few openings."""
