Compute report timeouts once for each choice of a server

Cause: the timeouts by distance were computed for each candidate, and ties were broken by a name although candidates are listed by name: 507 us a choice among 135 agents (one process, this machine), which deferred openings repeat every 20 ms after a loss of power. The choice is the same.

--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -21,15 +21,16 @@
 
 
 def is_eligible_for_flows(
-    member: Member, fleet: Fleet, configuration: ActiveConfiguration, now: float
+    member: Member, configuration: ActiveConfiguration, report_timeout_s: float, now: float
 ) -> bool:
     """Return whether an agent may be offered new flows."""
+    load = member.load
     return (
-        member.load.availability in (Availability.READY, Availability.UNKNOWN)
-        and not member.load.leaving
-        and member.excluded_until <= now
-        and now - member.last_heard_at < fleet.compute_report_timeout(member)
+        (load.availability is Availability.READY or load.availability is Availability.UNKNOWN)
+        and not load.leaving
         and member.unanswered_at is None
+        and member.excluded_until <= now
+        and now - member.last_heard_at < report_timeout_s
         and not configuration.is_data_centre_out(member.identity.data_centre)
     )
 
@@ -65,20 +66,21 @@
     remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S,
 ) -> Member | None:
     """Return the agent expected to serve a new flow soonest, or None if no agent is eligible."""
+    near_timeout_s, far_timeout_s = fleet.compute_agent_report_timeouts()
     candidates = [
         member
         for member in fleet.list_agents((service,))
         if member.identity.name not in excluded
-        and is_eligible_for_flows(member, fleet, configuration, now)
+        and is_eligible_for_flows(
+            member, configuration, near_timeout_s if fleet.is_near(member) else far_timeout_s, now
+        )
     ]
     if not candidates:
         return None
     ready = [item for item in candidates if item.load.availability is Availability.READY]
     not_recently_full = [item for item in ready if item.busy_until <= now]
+    # Agents are listed by name, and the first of equals is chosen.
     return min(
         not_recently_full or ready or candidates,
-        key=lambda member: (
-            estimate_delay(member, fleet.own.data_centre, remote_penalty_s),
-            member.identity.name,
-        ),
+        key=lambda member: estimate_delay(member, fleet.own.data_centre, remote_penalty_s),
     )
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -152,6 +152,14 @@
         """Return the time without a report of a member after which one is overdue, in seconds."""
         return MISSED_REPORTS * self._compute_interval_from(member)
 
+    def compute_agent_report_timeouts(self) -> tuple[float, float]:
+        """Return the times without a report of a near and of a far agent until one is overdue."""
+        balancers = len(self.list_balancers()) + 1
+        return (
+            MISSED_REPORTS * compute_near_agent_interval(balancers),
+            MISSED_REPORTS * compute_far_agent_interval(balancers),
+        )
+
     def list_neighbours(self, now: float) -> list[Member]:
         """Return the other balancers of this data centre that have sent a message lately."""
         return [
