Know that a server that started before its agent, after a loss of power, has no older flow

Cause: after a loss of power the backend servers are up before their agents, whose start takes longer, and call them in vain. The first heartbeat that arrives is their eighth or so, from which the agent concluded that the server might hold flows of a time before its own start. Every agent then answered "unsure" for as long as it ran: each packet of a dead flow was probed at one server after the other, and no such flow was reset.

Ruled out: counting sequence numbers, since a server that is not answered calls more often.

Now the server's start is compared with the start of the agent's process, both on the machine's clock: a server that started when no earlier process of the agent can have run has no unknown flow. Where the clock was set back in between, the comparison may be wrong for flows of the seconds before a restart of the agent.

Shown: test_recovery.py (servers_that_start_before_their_agents), which fails without it, and test_backend.py.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -35,7 +35,9 @@
     def __attrs_post_init__(self) -> None:
         settings = self.node.settings
         now = trio.current_time()
-        backend = BackendMonitor(settings.service, settings.heartbeat_interval_s, now)
+        backend = BackendMonitor(
+            settings.service, settings.heartbeat_interval_s, now, self.node.started_ms
+        )
         self.core = Agent(self.node.fleet, backend, now)
         self.ticker = Ticker(self.node, self.core)
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -89,6 +89,8 @@
     events: EventLog
     rng: random.Random
     own: Identity
+    started_ms: int | None = None
+    """Wall clock at the start of the process, in milliseconds; None if it is not known."""
     fleet: Fleet = field(init=False)
     store: ControlStore = field(init=False)
     store_status: DependencyStatus = field(init=False)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -24,16 +24,23 @@
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-def run_process(path: Path, platform: Platform) -> None:
-    """Run until a termination signal arrives; raise SettingsError if the settings have faults."""
+def run_process(path: Path, platform: Platform, started_ms: int | None = None) -> None:
+    """Run until a termination signal arrives; raise SettingsError if the settings have faults.
+
+    `started_ms` is the wall clock at the start of the process, in milliseconds.
+    """
     settings = load_settings(path)
     handler = configure_log(settings.instance)
     events = EventLog(settings.log_lines_per_s, handler)
-    trio.run(_run, path, settings, platform, events)
+    trio.run(_run, path, settings, platform, events, started_ms)
 
 
 async def _run(
-    path: Path, settings: HandshakeSettings, platform: Platform, events: EventLog
+    path: Path,
+    settings: HandshakeSettings,
+    platform: Platform,
+    events: EventLog,
+    started_ms: int | None,
 ) -> None:
     rng = random.Random()
     own = Identity(
@@ -44,7 +51,7 @@
         settings.service,
         rng.getrandbits(INCARNATION_BITS),
     )
-    node = Node(settings, platform, events, rng, own)
+    node = Node(settings, platform, events, rng, own, started_ms)
     process: AgentProcess | BalancerProcess
     process = AgentProcess(node) if settings.role is Role.AGENT else BalancerProcess(node)
     fields = {"role": settings.role.value, "incarnation": own.incarnation}
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -15,6 +15,9 @@
 FIRST_HEARTBEAT_TIMEOUT_INTERVALS = 2.0
 """Number of intervals to wait for the first heartbeat. A running backend server sends one per
 interval."""
+MIN_RESTART_DELAY_S = 0.25
+"""Shortest time between the end of an agent's process and the start of the next one on its machine,
+in seconds."""
 UNANSWERED_OPENINGS_LIMIT = 2
 """Number of unanswered opening packets after which the backend server counts as absent."""
 
@@ -55,6 +58,8 @@
     heartbeat_interval_s: float
     listening_since: float
     """Time at which this process began to listen for heartbeats."""
+    process_started_ms: int | None = None
+    """Wall clock at the start of this process, in milliseconds; None if it is not known."""
     last_heartbeat: Heartbeat | None = None
     last_heard_at: float = -math.inf
     """Time of the last accepted heartbeat or deregistration."""
@@ -87,7 +92,9 @@
             self._previous_starts.append((last.name, last.started_ms))
             del self._previous_starts[:-PREVIOUS_STARTS_LIMIT]
         # This process saw the start if it knows the previous one or gets the first heartbeat.
-        self.knows_all_flows = last is not None or heartbeat.sequence <= 1
+        self.knows_all_flows = (
+            last is not None or heartbeat.sequence <= 1 or self._started_after_agents(heartbeat)
+        )
         return self._accept(heartbeat, HeartbeatOutcome.NEW_START, now)
 
     def is_first_heartbeat_overdue(self, now: float) -> bool:
@@ -134,6 +141,13 @@
             return Availability.ABSENT
         return Availability.READY
 
+    def _started_after_agents(self, heartbeat: Heartbeat) -> bool:
+        # All packets to a backend server pass its agent. One that started when every earlier
+        # process of the agent had ended, as after a loss of power, has no flow unknown to this one.
+        if self.process_started_ms is None:
+            return False
+        return heartbeat.started_ms > self.process_started_ms - 1000 * MIN_RESTART_DELAY_S
+
     def _is_unconfirmed(self, heartbeat: Heartbeat, last: Heartbeat, now: float) -> bool:
         # An older start time means a delayed heartbeat of a previous start, or a new start after
         # the clock was set back. A delayed heartbeat comes once, while the current start goes on
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -151,11 +151,13 @@
         service: str = ALERTS,
         sequence: int = 1,
         data_centre: str = "a",
+        process_started_ms: int | None = None,
     ) -> Agent:
         own = Identity(
             f"agent-{address}", Role.AGENT, address, data_centre, service, self._next_sequence()
         )
-        core = Agent(Fleet(own), BackendMonitor(service, HEARTBEAT_INTERVAL_S, self.now), self.now)
+        monitor = BackendMonitor(service, HEARTBEAT_INTERVAL_S, self.now, process_started_ms)
+        core = Agent(Fleet(own), monitor, self.now)
         core.rules_version = self.rules.version
         core.cold_bounds = {item.name: item.cold_openings_per_s for item in self.rules.services}
         self.backends[address] = backend or self.backends.get(address) or FakeBackend(f"b{address}")
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
@@ -103,3 +103,20 @@
     assert not monitor.is_first_heartbeat_overdue(11.9)
     assert monitor.compute_availability(12.1) is Availability.LEFT
     assert monitor.is_first_heartbeat_overdue(12.1)
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "knows_all"), [(1_000_000, True), (999_800, True), (999_700, False)]
+)
+def test_server_that_started_while_no_agent_ran_has_no_unknown_flow(
+    started_ms: int, knows_all: bool
+) -> None:
+    monitor = BackendMonitor("alerts", 1.0, 10.0, process_started_ms=1_000_000)
+    monitor.record_heartbeat(evolve(HEARTBEAT, started_ms=started_ms, sequence=8), 12.0)
+    assert monitor.knows_all_flows is knows_all
+
+
+def test_agent_with_an_unknown_start_does_not_compare_clocks() -> None:
+    monitor = BackendMonitor("alerts", 1.0, 10.0)
+    monitor.record_heartbeat(evolve(HEARTBEAT, started_ms=10**15, sequence=8), 12.0)
+    assert not monitor.knows_all_flows
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -90,6 +90,25 @@
     assert sorted(cluster.resets) == flows
 
 
+def test_servers_that_start_before_their_agents_are_not_probed(cluster: Cluster) -> None:
+    flows = [build_flow(number) for number in range(10)]
+    for flow in flows:
+        cluster.open(flow, 1)
+    for address in (1, 2):
+        cluster.add_balancer(address)
+    for address in (11, 12, 13):
+        cluster.backends[address] = FakeBackend(f"restarted-{address}")
+        # The server has called its agent in vain since both got power.
+        cluster.add_agent(address, sequence=8, process_started_ms=10)
+    cluster.run(0.3)
+    for flow in flows:
+        cluster.request(flow, 2)
+    cluster.run(0.1)
+    assert sorted(cluster.resets) == flows
+    assert cluster.count_events("flow-probed") == 0
+    assert all(not backend.misrouted_packets for backend in cluster.backends.values())
+
+
 def test_openings_do_not_wait_for_a_crashed_backend_while_others_are_full(cluster: Cluster) -> None:
     cluster.nodes[11].backend.unanswered_openings = 9
     for address in (12, 13):
