Ask fewer agents for a free slot while nearly every slot of a service is busy

Cause: an opening asks up to eight agents for a free slot before it is queued at one.

Ruled out, on a model of 12 balancers and 22 one-slot servers whose reports are 0.6 s old: going by the share of single offers that come back (at 70% load 51% of the requests then wait in a queue, 9% before), and sampling two to six agents at random (no difference).

Now, once four in five openings of a service find no slot, seven in eight of its openings ask one agent only; the eighth notices the end of the overload.

Shown: test_free_slots.py, 9 offers for each opening before, at most 4 and then 3 now.

--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -11,6 +11,7 @@
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
+from fescueseam.handshake.free_slots import FreeSlotSearches
 from fescueseam.handshake.member import Availability, Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
@@ -21,7 +22,6 @@
     DEFERRED_RETRY_INTERVAL_S,
     DEFERRED_TIMEOUT_S,
     DELIVERED_RETENTION_S,
-    FREE_SLOT_OFFERS_LIMIT,
     OFFER_TIMEOUT_S,
     REJECTED_BACKOFF_S,
     PendingOpening,
@@ -72,6 +72,7 @@
     """Openings that were offered to an agent and may still be returned."""
     deferred: dict[FlowId, PendingOpening] = field(factory=dict)
     """Openings that wait for an agent to become ready."""
+    free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     finder: HomeFinder = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -135,8 +136,10 @@
         flow = body.flow
         opening = self.offered.get(flow)
         if opening is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
-            if opening.agent == sender_name:
+            if opening.agent == sender_name and not opening.delivered:
                 opening.delivered = True
+                if not opening.even_if_busy:
+                    self._record_free_slot_search(opening, True)
             return []
         return self.finder.handle_located(sender_name, body, now)
 
@@ -223,15 +226,19 @@
         self, segment: Segment, flow: FlowId, service: str, excluded: set[str], now: float
     ) -> Effects:
         opening = PendingOpening(segment, service, "", now, set(excluded), set(excluded))
+        opening.free_slot_offers_limit = self.free_slot_searches.choose_limit(service)
         return self._place_pending(opening, flow, now)
 
     def _place_pending(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         if not self.configuration.is_complete():
             return self._defer_or_refuse(opening, flow, now)
         member = None
-        if not opening.even_if_busy and len(opening.tried_agents) < FREE_SLOT_OFFERS_LIMIT:
+        is_within_limit = len(opening.tried_agents) < opening.free_slot_offers_limit
+        if not opening.even_if_busy and is_within_limit:
             member = self._choose_agent(opening.service, opening.tried_agents, now)
         if member is None:
+            if not opening.even_if_busy:
+                self._record_free_slot_search(opening, False)
             opening.even_if_busy = True
             member = self._choose_agent(opening.service, opening.rejecting_agents, now)
         if member is None:
@@ -239,6 +246,10 @@
             return self._defer_or_refuse(opening, flow, now)
         return self._offer_to(member, opening, flow, now)
 
+    def _record_free_slot_search(self, opening: PendingOpening, found: bool) -> None:
+        if opening.deferred_at is None:
+            self.free_slot_searches.record(opening.service, opening.free_slot_offers_limit, found)
+
     def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
         return choose_agent(
             self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from fescueseam.handshake.free_slots import FREE_SLOT_OFFERS_LIMIT
 from fescueseam.handshake.segments import Segment
 
 OFFER_TIMEOUT_S = 0.06
@@ -9,9 +10,6 @@
 offered to another agent."""
 DELIVERED_RETENTION_S = 0.4
 """Time for which a delivered opening is kept, in seconds, as the backend server may return it."""
-FREE_SLOT_OFFERS_LIMIT = 8
-"""Largest number of agents that are asked for a free slot. After them, agents are asked to accept
-the opening even if every slot is busy."""
 DEFERRED_TIMEOUT_S = 1.2
 """Longest time that an opening waits for an agent to become ready, in seconds; callers give up
 after 1.4 s."""
@@ -49,6 +47,8 @@
     did not answer a search for its flow."""
     even_if_busy: bool = False
     """Whether agents are asked to accept the opening even if every slot is busy."""
+    free_slot_offers_limit: int = FREE_SLOT_OFFERS_LIMIT
+    """Number of agents that are asked for a free slot."""
     deferred_at: float | None = None
     """Time at which it was first deferred; None before that."""
     delivered: bool = False
