Bound the questions and offers of a process, and wait for unread answers

Cause: after a loss of power each packet of a dead flow asked all agents of its service three times, and the callers sent it again.

Now the questions of a balancer share a budget; searches beyond it wait, and ask together in one notice for each agent. An opening is offered twelve times at most, twice in each retry of a deferred one.

Balancers and agents of earlier builds do not read the new notices.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -7,7 +7,7 @@
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import BackendMonitor, HeartbeatOutcome
 from fescueseam.handshake.member import Availability, Role
-from fescueseam.handshake.notices import Locate, Report
+from fescueseam.handshake.notices import Locate, LocateBatch, Report
 from fescueseam.handshake.report_intervals import MIN_AGENT_INTERVAL_S
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import Deregistration
@@ -39,7 +39,7 @@
             settings.service, settings.heartbeat_interval_s, now, self.node.started_ms
         )
         self.core = Agent(self.node.fleet, backend, now)
-        self.ticker = Ticker(self.node, self.core)
+        self.ticker = Ticker(self.node, self.core, (self.node.edge_socket,))
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -99,11 +99,10 @@
         if notice is None:
             return
         now = trio.current_time()
-        if isinstance(notice.body, Locate):
+        if isinstance(notice.body, Locate | LocateBatch):
             member = self.node.fleet.find(notice.sender)
             if member is not None:
-                address = member.identity.address
-                self.ticker.execute(self.core.handle_locate(address, notice.body, now))
+                self._reply_to_question(member.identity.address, notice.body, now)
         elif isinstance(notice.body, Report):
             changed = self.node.record_report(notice.body, notice.sequence, now)
             self.ticker.execute(self.core.handle_report(notice.body, now))
@@ -111,6 +110,12 @@
                 report = self.core.build_report(now)
                 self.node.send_notice(notice.body.identity.address, report)
 
+    def _reply_to_question(self, origin: int, body: Locate | LocateBatch, now: float) -> None:
+        if isinstance(body, Locate):
+            self.ticker.execute(self.core.handle_locate(origin, body, now))
+        else:
+            self.ticker.execute(self.core.handle_locate_batch(origin, body, now))
+
     async def _handle_heartbeat_request(self, request: Request) -> Response:
         now = trio.current_time()
         try:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -10,7 +10,7 @@
 from fescueseam.handshake.balancer import STARTUP_GRACE_S, Balancer
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.member import Identity, Load, Member, Role
-from fescueseam.handshake.notices import Locate, Located, Report
+from fescueseam.handshake.notices import Locate, Located, LocatedBatch, Report
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
@@ -77,7 +77,8 @@
             trio.current_time(),
             lambda: self.node.settings.remote_penalty_s,
         )
-        self.ticker = Ticker(self.node, self.core)
+        sockets = (self.node.peer_socket, self.node.notice_socket)
+        self.ticker = Ticker(self.node, self.core, sockets)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -154,15 +155,17 @@
         if notice is None:
             return
         now = trio.current_time()
-        if isinstance(notice.body, Located):
+        if isinstance(notice.body, Located | LocatedBatch):
             self.node.fleet.record_message(notice.sender, now)
-            self.ticker.execute(
-                contain(
-                    "located",
-                    partial(self.core.handle_located, notice.sender, notice.body, now),
-                    partial(self.core.discard_flow, notice.body.flow),
+            body = notice.body
+            for answer in body.answers if isinstance(body, LocatedBatch) else (body,):
+                self.ticker.execute(
+                    contain(
+                        "located",
+                        partial(self.core.handle_located, notice.sender, answer, now),
+                        partial(self.core.discard_flow, answer.flow),
+                    )
                 )
-            )
         elif isinstance(notice.body, Locate):
             member = self.node.fleet.find(notice.sender)
             if member is not None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
@@ -31,6 +31,19 @@
             self._sock.close()
             self._sock = None
 
+    def has_unread_data(self) -> bool:
+        """Return whether a datagram waits to be read."""
+        if self._sock is None:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The kernel reports an undeliverable datagram; reading goes on.
+            return True
+        return True
+
     def send(self, data: bytes, address: str, port: int) -> None:
         """Send a datagram; count and drop one that the kernel does not accept."""
         if self._sock is None:
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -23,7 +23,14 @@
 from fescueseam.handshake.flows import Flow, FlowTable
 from fescueseam.handshake.member import Availability, Load, Member
 from fescueseam.handshake.members import Fleet
-from fescueseam.handshake.notices import Holding, Locate, Located, Report
+from fescueseam.handshake.notices import (
+    Holding,
+    Locate,
+    LocateBatch,
+    Located,
+    LocatedBatch,
+    Report,
+)
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import (
     FlowId,
@@ -155,7 +162,12 @@
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
         """Reply whether the backend server holds a flow."""
-        return [SendNotice(origin, Located(body.flow, self._find_holding(body, now)))]
+        return [SendNotice(origin, self._build_located(body.flow, body.service, now))]
+
+    def handle_locate_batch(self, origin: int, body: LocateBatch, now: float) -> Effects:
+        """Reply for each flow whether the backend server holds it."""
+        answers = tuple(self._build_located(flow, body.service, now) for flow in body.flows)
+        return [SendNotice(origin, LocatedBatch(answers))]
 
     def handle_heartbeat(
         self, heartbeat: Heartbeat, now: float
@@ -271,11 +283,15 @@
         body = self.build_report(now)
         return [SendNotice(member.identity.address, body) for member in members]
 
-    def tick(self, now: float) -> Effects:
-        """Return unanswered opening packets to their balancers and expire old flows."""
+    def tick(self, now: float, heard_until: float | None = None) -> Effects:
+        """Return unanswered opening packets to their balancers and expire old flows.
+
+        Packets that arrived after `heard_until`, by default now, may not have been read yet.
+        """
         effects: Effects = []
+        heard_until = now if heard_until is None else heard_until
         for flow, opening in list(self._delivered_openings.items()):
-            if now - opening.delivered_at < OPENING_ANSWER_TIMEOUT_S:
+            if heard_until - opening.delivered_at < OPENING_ANSWER_TIMEOUT_S:
                 break
             del self._delivered_openings[flow]
             effects += contain(
@@ -356,9 +372,12 @@
         )
         return REASON_BUSY if busy >= limit else ""
 
-    def _find_holding(self, body: Locate, now: float) -> Holding:
-        entry = self.flows.find(body.flow)
-        if body.service != self.backend.service:
+    def _build_located(self, flow: FlowId, service: str, now: float) -> Located:
+        return Located(flow, self._find_holding(flow, service, now))
+
+    def _find_holding(self, flow: FlowId, service: str, now: float) -> Holding:
+        entry = self.flows.find(flow)
+        if service != self.backend.service:
             return Holding.NO
         if entry is None or entry.probe_origin:
             is_certain = self.backend.knows_all_flows or self.backend.is_first_heartbeat_overdue(
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -18,6 +18,7 @@
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_LIMIT,
+    DEFERRED_OFFERS_LIMIT,
     DEFERRED_RETRIES_PER_TICK,
     DEFERRED_RETRY_INTERVAL_S,
     DEFERRED_TIMEOUT_S,
@@ -151,21 +152,24 @@
             return [SendNotice(origin, Located(body.flow, Holding.NO))]
         return [SendNotice(origin, Located(body.flow, Holding.UNSURE, home.agent))]
 
-    def tick(self, now: float) -> Effects:
-        """Handle overdue offers and searches, and retry deferred openings."""
+    def tick(self, now: float, heard_until: float | None = None) -> Effects:
+        """Handle overdue offers and searches, and retry deferred openings.
+
+        Answers that arrived after `heard_until`, by default now, may not have been read yet.
+        """
         effects: Effects = []
+        heard_until = now if heard_until is None else heard_until
         for flow, opening in list(self.offered.items()):
-            age_s = now - opening.sent_at
             if opening.delivered:
-                if age_s >= DELIVERED_RETENTION_S:
+                if now - opening.sent_at >= DELIVERED_RETENTION_S:
                     del self.offered[flow]
-            elif age_s >= OFFER_TIMEOUT_S:
+            elif heard_until - opening.sent_at >= OFFER_TIMEOUT_S:
                 effects += contain(
                     "offer-timeout",
                     partial(self._handle_offer_timeout, flow, opening, now),
                     partial(self.discard_flow, flow),
                 )
-        effects += self.finder.tick(now)
+        effects += self.finder.tick(now, heard_until)
         # Only a few are retried at a time, the oldest first: their outcome shows whether agents
         # accept flows again.
         oldest = heapq.nsmallest(
@@ -178,7 +182,9 @@
                 del self.deferred[flow]
                 opening.tried_agents.clear()
                 opening.rejecting_agents.clear()
-                opening.even_if_busy = False
+                # It has waited longer than for a slot already.
+                opening.even_if_busy = True
+                opening.offers_left = DEFERRED_OFFERS_LIMIT
                 effects += contain(
                     "deferred-retry",
                     partial(self._place_pending, opening, flow, now),
@@ -195,6 +201,7 @@
 
     def _handle_offer_timeout(self, flow: FlowId, opening: PendingOpening, now: float) -> Effects:
         effects: Effects = []
+        opening.was_unanswered = True
         if self.fleet.record_unanswered(opening.agent, now):
             effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
         return effects + self._offer_elsewhere(flow, opening.agent, True, now)
@@ -232,6 +239,8 @@
     def _place_pending(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         if not self.configuration.is_complete():
             return self._defer_or_refuse(opening, flow, now)
+        if opening.offers_left <= 0:
+            return self._stop_offering(opening, flow, now)
         member = None
         is_within_limit = len(opening.tried_agents) < opening.free_slot_offers_limit
         if not opening.even_if_busy and is_within_limit:
@@ -246,6 +255,14 @@
             return self._defer_or_refuse(opening, flow, now)
         return self._offer_to(member, opening, flow, now)
 
+    def _stop_offering(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
+        self.homes.pop(flow, None)
+        if opening.deferred_at is not None or not opening.was_unanswered:
+            return self._defer_or_refuse(opening, flow, now)
+        # The agents may be overloaded; the caller retransmits the opening.
+        fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
+        return [LogEvent("opening-dropped", fields)]
+
     def _record_free_slot_search(self, opening: PendingOpening, found: bool) -> None:
         if opening.deferred_at is None:
             self.free_slot_searches.record(opening.service, opening.free_slot_offers_limit, found)
@@ -270,6 +287,7 @@
         }
         opening.agent = member.identity.name
         opening.tried_agents.add(opening.agent)
+        opening.offers_left -= 1
         opening.sent_at = now
         opening.delivered = False
         member.flows_sent_since_report += 1
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -7,7 +7,16 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.member import Availability, Identity, Load, Role
-from fescueseam.handshake.notices import Holding, Locate, Located, Notice, NoticeBody, Report
+from fescueseam.handshake.notices import (
+    Holding,
+    Locate,
+    LocateBatch,
+    Located,
+    LocatedBatch,
+    Notice,
+    NoticeBody,
+    Report,
+)
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import FlowId
 
@@ -32,11 +41,17 @@
         target = message.body.init("locate")
         _write_flow(target.flow, body.flow)
         target.service = body.service
+    elif isinstance(body, Located):
+        _write_located(message.body.init("located"), body)
+    elif isinstance(body, LocateBatch):
+        batch = message.body.init("locateBatch")
+        batch.service = body.service
+        for item, flow in zip(batch.init("flows", len(body.flows)), body.flows, strict=True):
+            _write_flow(item, flow)
     else:
-        answer = message.body.init("located")
-        _write_flow(answer.flow, body.flow)
-        answer.holding = int(body.holding)
-        answer.agent = body.agent
+        answers = message.body.init("locatedBatch", len(body.answers))
+        for item, answer in zip(answers, body.answers, strict=True):
+            _write_located(item, answer)
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -58,8 +73,22 @@
         return _read_report(message.body.report)
     if kind == "locate":
         return Locate(_read_flow(message.body.locate.flow), message.body.locate.service)
-    answer = message.body.located
-    return Located(_read_flow(answer.flow), Holding(answer.holding), answer.agent)
+    if kind == "locateBatch":
+        batch = message.body.locateBatch
+        return LocateBatch(tuple(_read_flow(item) for item in batch.flows), batch.service)
+    if kind == "locatedBatch":
+        return LocatedBatch(tuple(_read_located(item) for item in message.body.locatedBatch))
+    return _read_located(message.body.located)
+
+
+def _write_located(target: Any, body: Located) -> None:
+    _write_flow(target.flow, body.flow)
+    target.holding = int(body.holding)
+    target.agent = body.agent
+
+
+def _read_located(source: Any) -> Located:
+    return Located(_read_flow(source.flow), Holding(source.holding), source.agent)
 
 
 def _write_flow(target: Any, flow: FlowId) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -10,6 +10,7 @@
 from fescueseam.handshake.member import Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
+from fescueseam.handshake.questions import QuestionBudget, combine_questions
 from fescueseam.handshake.searches import (
     HINT_TIMEOUT_S,
     LOCATE_RETRY_INTERVAL_S,
@@ -40,6 +41,10 @@
     on_found: FoundHandler
     on_not_found: NotFoundHandler
     searches: dict[FlowId, HomeSearch] = field(factory=dict)
+    budget: QuestionBudget = field(factory=QuestionBudget)
+    _asked_in_tick: set[str] | None = None
+    """Agents to which this tick sends a question anyway, so that more flows in it cost nothing;
+    None outside ticks."""
 
     def start(
         self,
@@ -62,9 +67,9 @@
         search.buffer_segment(segment)
         self.searches[flow] = search
         neighbours = self.fleet.list_neighbours(now)
-        search.pending_hints = {member.identity.name for member in neighbours}
-        if not neighbours:
+        if not neighbours or not self.budget.take(len(neighbours), now):
             return self._ask_agents(search, now)
+        search.pending_hints = {member.identity.name for member in neighbours}
         body = Locate(flow, services[0])
         return [SendNotice(member.identity.address, body) for member in neighbours]
 
@@ -85,7 +90,7 @@
             search.answers[sender_name] = body.holding
         if search.is_checking_hint:
             return self._ask_agents(search, now)
-        return self._advance(search, now)
+        return [] if search.list_pending_agents() else self._advance(search, now)
 
     def handle_returned_packet(self, flow: FlowId, agent_name: str, now: float) -> Effects:
         """Handle the return of the packet with which an agent was probed."""
@@ -96,17 +101,22 @@
         search.answers[agent_name] = Holding.NO
         return self._advance(search, now)
 
-    def tick(self, now: float) -> Effects:
-        """Ask again, probe or give up in the searches whose answers are overdue."""
+    def tick(self, now: float, heard_until: float) -> Effects:
+        """Ask, ask again, probe or give up in the searches whose time has come.
+
+        Answers that arrived after `heard_until` may not have been read yet.
+        """
         effects: Effects = []
+        self._asked_in_tick = set()
         for search in list(self.searches.values()):
-            if now >= search.next_round_at:
+            if search.waits_for_budget or heard_until >= search.next_round_at:
                 effects += contain(
                     "search-timeout",
                     partial(self._handle_timeout, search, now),
                     partial(self.discard, search.flow),
                 )
-        return effects
+        self._asked_in_tick = None
+        return combine_questions(effects)
 
     def discard(self, flow: FlowId) -> None:
         """End the search for a flow's home, if any, without a result."""
@@ -133,7 +143,6 @@
     def _ask_agents(self, search: HomeSearch, now: float) -> Effects:
         search.pending_hints.clear()
         search.is_checking_hint = False
-        search.next_round_at = now + LOCATE_RETRY_INTERVAL_S
         if search.has_only_openings():
             # No neighbouring balancer has offered the opening, so it is placed as a new one. If an
             # agent admitted an earlier copy, a second half-open flow elsewhere does no harm.
@@ -151,8 +160,20 @@
                 # The backend server may be alive while only the agent's reports are lost.
                 unreachable.add(name)
         search.unreachable_agents = frozenset(unreachable)
-        unanswered = search.list_pending_agents()
-        return self._send_locate(search, unanswered) if unanswered else self._advance(search, now)
+        return self._ask_pending_agents(search, now) or self._advance(search, now)
+
+    def _ask_pending_agents(self, search: HomeSearch, now: float) -> Effects:
+        """Ask the agents that have not answered, or wait for the budget of questions."""
+        names = search.list_pending_agents()
+        unasked = set(names) - (self._asked_in_tick or set())
+        search.waits_for_budget = not self.budget.take(len(unasked), now)
+        if search.waits_for_budget:
+            return []
+        if self._asked_in_tick is not None:
+            self._asked_in_tick |= unasked
+        search.rounds += 1
+        search.next_round_at = now + LOCATE_RETRY_INTERVAL_S
+        return self._send_locate(search, names)
 
     def _send_locate(self, search: HomeSearch, agent_names: list[str]) -> Effects:
         effects: Effects = []
@@ -166,10 +187,10 @@
     def _handle_timeout(self, search: HomeSearch, now: float) -> Effects:
         if search.pending_hints or search.is_checking_hint:
             return self._ask_agents(search, now)
+        has_rounds_left = search.rounds < LOCATE_ROUNDS_LIMIT and not search.probe_target
+        if search.waits_for_budget or has_rounds_left:
+            return self._ask_pending_agents(search, now)
         search.next_round_at = now + LOCATE_RETRY_INTERVAL_S
-        if search.rounds < LOCATE_ROUNDS_LIMIT and not search.probe_target:
-            search.rounds += 1
-            return self._send_locate(search, search.list_pending_agents())
         if search.probe_target:
             search.answers[search.probe_target] = None
             search.probe_target = ""
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -57,7 +57,22 @@
     """Name of the agent that a balancer remembers for the flow; empty in an agent's reply."""
 
 
-NoticeBody = Report | Locate | Located
+@frozen
+class LocateBatch:
+    """Asks an agent about several flows of one service."""
+
+    flows: tuple[FlowId, ...]
+    service: str
+
+
+@frozen
+class LocatedBatch:
+    """Reply to a LocateBatch, with an answer for each of its flows."""
+
+    answers: tuple[Located, ...]
+
+
+NoticeBody = Report | Locate | Located | LocateBatch | LocatedBatch
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -10,6 +10,11 @@
 offered to another agent."""
 DELIVERED_RETENTION_S = 0.4
 """Time for which a delivered opening is kept, in seconds, as the backend server may return it."""
+OFFERS_LIMIT = 12
+"""Largest number of offers of one opening: a search for a free slot and a few requests to queue
+it. More would not end before the caller retransmits the opening."""
+DEFERRED_OFFERS_LIMIT = 2
+"""Largest number of offers in each attempt to place a deferred opening."""
 DEFERRED_TIMEOUT_S = 1.2
 """Longest time that an opening waits for an agent to become ready, in seconds; callers give up
 after 1.4 s."""
@@ -49,6 +54,9 @@
     """Whether agents are asked to accept the opening even if every slot is busy."""
     free_slot_offers_limit: int = FREE_SLOT_OFFERS_LIMIT
     """Number of agents that are asked for a free slot."""
+    offers_left: int = OFFERS_LIMIT
+    was_unanswered: bool = False
+    """Whether an agent has left an offer unanswered, so that an answer may only have been lost."""
     deferred_at: float | None = None
     """Time at which it was first deferred; None before that."""
     delivered: bool = False
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -9,6 +9,8 @@
     report @3 :Report;
     locate @4 :Locate;
     located @5 :Located;
+    locateBatch @6 :LocateBatch;
+    locatedBatch @7 :List(Located);
   }
 }
 
@@ -62,6 +64,11 @@
   service @1 :Text;
 }
 
+struct LocateBatch {
+  flows @0 :List(Flow);
+  service @1 :Text;
+}
+
 struct Located {
   flow @0 :Flow;
   holding @1 :UInt8;
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -40,8 +40,10 @@
     unreachable_agents: frozenset[str] = frozenset()
     """Names of the agents that were asked although they seem unreachable: their reports may be lost
     while their backend servers are alive."""
-    rounds: int = 1
+    rounds: int = 0
     """Number of rounds in which agents have been asked."""
+    waits_for_budget: bool = False
+    """Whether the next round waits because too many questions were sent lately."""
     probe_target: str = ""
     """Name of the agent whose backend server is being probed with the first buffered packet; empty
     if there is none."""
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -22,7 +22,14 @@
 )
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.members import Fleet
-from fescueseam.handshake.notices import Locate, Located, Report
+from fescueseam.handshake.notices import (
+    Locate,
+    LocateBatch,
+    Located,
+    LocatedBatch,
+    NoticeBody,
+    Report,
+)
 from fescueseam.handshake.rules import (
     ActiveConfiguration,
     Outage,
@@ -113,7 +120,7 @@
     events: list[LogEvent] = field(factory=list)
     observed: list[Observe] = field(factory=list)
     locate_requests: list[tuple[int, int]] = field(factory=list)
-    """Sender and receiver of each Locate notice."""
+    """Sender and receiver of each Locate and LocateBatch notice."""
     disconnected: set[int] = field(factory=set)
     """Addresses that neither send nor receive anything."""
     lost_reports: set[tuple[int, int]] = field(factory=set)
@@ -273,9 +280,9 @@
             self.execute(address, [SendNotice(item.identity.address, body) for item in members])
         self.schedule(REPORT_INTERVAL_S, lambda: self._report(address, core))
 
-    def _send_notice(self, sender: int, address: int, body: Report | Locate | Located) -> None:
+    def _send_notice(self, sender: int, address: int, body: NoticeBody) -> None:
         name, sequence = self.nodes[sender].fleet.own.name, self._next_sequence()
-        if isinstance(body, Locate):
+        if isinstance(body, Locate | LocateBatch):
             self.locate_requests.append((sender, address))
 
         def arrive() -> None:
@@ -290,9 +297,13 @@
                     self.execute(address, core.handle_report(body, self.now))
             elif isinstance(body, Locate):
                 self.execute(address, core.handle_locate(sender, body, self.now))
-            elif isinstance(body, Located) and isinstance(core, Balancer):
+            elif isinstance(body, LocateBatch) and isinstance(core, Agent):
+                self.execute(address, core.handle_locate_batch(sender, body, self.now))
+            elif isinstance(body, Located | LocatedBatch) and isinstance(core, Balancer):
                 core.fleet.record_message(name, self.now)
-                self.execute(address, core.handle_located(name, body, self.now))
+                answers = body.answers if isinstance(body, LocatedBatch) else (body,)
+                for answer in answers:
+                    self.execute(address, core.handle_located(name, answer, self.now))
 
         self.schedule(HOP_DELAY_S, arrive)
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -7,10 +7,19 @@
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.codec import decode_notice, encode_notice
 from fescueseam.handshake.member import Availability, Identity, Load, Role
-from fescueseam.handshake.notices import Holding, Locate, Located, Notice, Report
+from fescueseam.handshake.notices import (
+    Holding,
+    Locate,
+    LocateBatch,
+    Located,
+    LocatedBatch,
+    Notice,
+    Report,
+)
 from fescueseam.handshake.rules import Outage
 
 FLOW = (0x64400007, 40001, 0xC6120001, 443)
+OTHER_FLOW = (0x64400008, 40002, 0xC6120001, 443)
 IDENTITY = Identity("agent-1", Role.AGENT, 0x0A010010, "a", "alerts", 77)
 LOAD = Load(Availability.READY, 2, 30, 5, 0.5, 0.25, True, False, 0.125)
 REPORT = Report(
@@ -25,7 +34,13 @@
 )
 NOTICES = [
     Notice("agent-1", 77, 3, body)
-    for body in (REPORT, Locate(FLOW, "alerts"), Located(FLOW, Holding.HALF_OPEN))
+    for body in (
+        REPORT,
+        Locate(FLOW, "alerts"),
+        Located(FLOW, Holding.HALF_OPEN),
+        LocateBatch((FLOW, OTHER_FLOW), "alerts"),
+        LocatedBatch((Located(FLOW, Holding.YES), Located(OTHER_FLOW, Holding.UNSURE, "agent-2"))),
+    )
 ]
 
 
