Let openings wait for the configuration, and split homes and load averages off

Cause: a balancer that has started and does not have the configuration yet dropped openings, so that their callers waited for the next copy. They are deferred now, as openings without a ready agent are.

Shown: test_recovery.py.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -335,7 +335,7 @@
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             now = trio.current_time()
-            self.core.expire_idle_homes(now, HOME_RETENTION_S)
+            self.core.homes.expire(now, HOME_RETENTION_S)
             self.node.log_reachability_changes(now)
 
     async def _send_due_reports(self) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -1,6 +1,5 @@
 """Decisions of an agent about the packets to and from its backend server."""
 
-import math
 from collections import OrderedDict
 from functools import partial
 
@@ -21,6 +20,7 @@
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
 from fescueseam.handshake.flows import Flow, FlowTable
+from fescueseam.handshake.load_averages import LoadAverages
 from fescueseam.handshake.member import Availability, Load, Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import (
@@ -31,6 +31,7 @@
     LocatedBatch,
     Report,
 )
+from fescueseam.handshake.openings import DeliveredOpening
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import (
     FlowId,
@@ -48,10 +49,6 @@
 """Number of busy flows per slot below which opening packets marked DELIVER_EVEN_IF_BUSY are
 admitted. Balancers set this mark if no backend server has a free slot. From this number on, a
 further request would wait too long to be of use."""
-UTILISATION_TIME_CONSTANT_S = 3.0
-"""Time constant of the exponential average of the utilisation, in seconds."""
-SERVICE_TIME_WEIGHT = 0.1
-"""Weight of a new service time in its exponential moving average."""
 IDLE_FLOW_TIMEOUT_S = 60.0
 """Idle time after which a flow is removed, in seconds. No caller keeps a flow idle for longer."""
 REASON_BUSY = "busy"
@@ -59,14 +56,6 @@
 ends within a service time."""
 
 
-@define(eq=False)
-class DeliveredOpening:
-    """An opening packet that was delivered to the backend server and is not answered yet."""
-
-    segment: Segment
-    delivered_at: float
-
-
 @define(eq=False)
 class Agent:
     """Admission and flow table of one agent.
@@ -84,11 +73,7 @@
     rules_version: int = 0
     leaving: bool = False
     failures: FailureTracker = field(factory=FailureTracker)
-    service_time_s: float = 0.0
-    """Moving average of the service time, in seconds; 0 before the first answer."""
-    utilisation: float = 0.0
-    """Moving average of the share of busy slots."""
-    _utilisation_updated_at: float = 0.0
+    averages: LoadAverages = field(factory=LoadAverages)
     _delivered_openings: OrderedDict[FlowId, DeliveredOpening] = field(factory=OrderedDict)
     _service_tag: int = 0
 
@@ -147,7 +132,7 @@
         if end is not None:
             self.failures.record_request_end(not end.answered, now)
         if end is not None and end.answered:
-            self._update_service_time(end.duration_s)
+            self.averages.record_service_time(end.duration_s)
             effects.append(Observe("service_seconds", self.backend.service, end.duration_s))
         elif end is not None:
             fields = {
@@ -238,14 +223,14 @@
         """Return the load for the next report."""
         self._update_utilisation(now)
         heartbeat = self.backend.last_heartbeat
-        stuck = self.flows.count_stuck(compute_stuck_after(self.service_time_s), now)
+        stuck = self.flows.count_stuck(compute_stuck_after(self.averages.service_time_s), now)
         return Load(
             availability=self.backend.compute_availability(now),
             busy=self.flows.busy,
             flows=self.flows.count_open(),
             slots=0 if heartbeat is None else heartbeat.slots,
-            utilisation=self.utilisation,
-            service_time_s=self.service_time_s,
+            utilisation=self.averages.utilisation,
+            service_time_s=self.averages.service_time_s,
             failing=self.failures.compute_failing_share(stuck, now),
             cold=self.backend.cold_start.is_cold(now),
             leaving=self.leaving,
@@ -409,17 +394,5 @@
         return Forward(origin, segment, Mark(purpose, self._service_tag, origin), returned=True)
 
     def _update_utilisation(self, now: float) -> None:
-        elapsed_s = now - self._utilisation_updated_at
-        if elapsed_s <= 0:
-            return
         slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 0
-        busy_share = min(1.0, self.flows.busy / slots) if slots else 0.0
-        decay = math.exp(-elapsed_s / UTILISATION_TIME_CONSTANT_S)
-        self.utilisation = self.utilisation * decay + busy_share * (1 - decay)
-        self._utilisation_updated_at = now
-
-    def _update_service_time(self, duration_s: float) -> None:
-        if self.service_time_s == 0.0:
-            self.service_time_s = duration_s
-        else:
-            self.service_time_s += (duration_s - self.service_time_s) * SERVICE_TIME_WEIGHT
+        self.averages.record_busy_slots(self.flows.busy, slots, now)
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -1,18 +1,22 @@
 """Decisions of a balancer on the packets of callers."""
 
 import heapq
-from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 
 from attrs import define, field
 
-from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S, choose_agent
+from fescueseam.handshake.choice import (
+    DEFAULT_REMOTE_PENALTY_S,
+    choose_agent,
+    is_agent_expected_soon,
+)
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
 from fescueseam.handshake.free_slots import FreeSlotSearches
-from fescueseam.handshake.member import Availability, Member
+from fescueseam.handshake.homes import HomeTable
+from fescueseam.handshake.member import Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.openings import (
@@ -38,23 +42,11 @@
     format_flow,
 )
 
-HOMES_LIMIT = 65_536
-"""Largest number of remembered homes; a search finds an evicted one again."""
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
 within a few report intervals."""
 
 
-@define
-class Home:
-    """The agent to which a flow's packets are forwarded."""
-
-    agent: str
-    service: str
-    used_at: float
-    """Time of the last packet or offer that was forwarded to the agent."""
-
-
 @define(eq=False)
 class Balancer:
     """Forwards each packet to the agent of its flow; all state is a cache that may be lost."""
@@ -67,8 +59,7 @@
     has_member_list: bool = False
     """Whether the member list has been read. Until then an unknown agent may hold a flow, so that
     flows without a known home are not reset."""
-    homes: OrderedDict[FlowId, Home] = field(factory=OrderedDict)
-    """Known homes, the least recently used first."""
+    homes: HomeTable = field(factory=HomeTable)
     offered: dict[FlowId, PendingOpening] = field(factory=dict)
     """Openings that were offered to an agent and may still be returned."""
     deferred: dict[FlowId, PendingOpening] = field(factory=dict)
@@ -109,8 +100,7 @@
         if member is None or self.fleet.is_unreachable(member, now):
             del self.homes[flow]
             return self._start_search(segment, flow, now)
-        home.used_at = now
-        self.homes.move_to_end(flow)
+        self.homes.record_use(flow, now)
         return [self._forward(segment, member, home.service, Purpose.DELIVER)]
 
     def handle_returned_packet(self, segment: Segment, sender_address: int, now: float) -> Effects:
@@ -206,14 +196,10 @@
             effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
         return effects + self._offer_elsewhere(flow, opening.agent, True, now)
 
-    def expire_idle_homes(self, now: float, idle_s: float) -> None:
-        """Forget the homes of flows that have been idle for `idle_s` seconds."""
-        for flow, home in list(self.homes.items()):
-            if now - home.used_at < idle_s:
-                break
-            del self.homes[flow]
-
     def _handle_opening(self, segment: Segment, flow: FlowId, now: float) -> Effects:
+        if self.configuration.rules.version == 0:
+            # It is placed as soon as the configuration is there.
+            return self._defer_or_refuse(PendingOpening(segment, "", "", now), flow, now)
         service = self.configuration.choose_service(flow)
         if service is None:
             return self._refuse(segment, flow, "no-route", now)
@@ -239,6 +225,9 @@
     def _place_pending(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         if not self.configuration.is_complete():
             return self._defer_or_refuse(opening, flow, now)
+        opening.service = opening.service or self.configuration.choose_service(flow) or ""
+        if not opening.service:
+            return self._refuse(opening.segment, flow, "no-route", now)
         if opening.offers_left <= 0:
             return self._stop_offering(opening, flow, now)
         member = None
@@ -292,23 +281,17 @@
         opening.delivered = False
         member.flows_sent_since_report += 1
         self.offered[flow] = opening
-        self._remember_home(flow, opening.agent, opening.service, now)
+        self.homes.remember(flow, opening.agent, opening.service, now)
         purpose = Purpose.DELIVER_EVEN_IF_BUSY if opening.even_if_busy else Purpose.DELIVER
         forward = self._forward(opening.segment, member, opening.service, purpose)
         return [LogEvent("flow-offered", fields), forward]
 
     def _defer_or_refuse(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         reason = "no-room" if opening.tried_agents else "no-agent"
-        states = {
-            member.load.availability
-            for member in self.fleet.list_agents((opening.service,))
-            if not self.fleet.is_unreachable(member, now)
-        }
         is_agent_expected = (
             now - self.started_at < STARTUP_GRACE_S
             or not self.configuration.is_complete()
-            or Availability.UNKNOWN in states
-            or (Availability.ABSENT in states and Availability.READY not in states)
+            or is_agent_expected_soon(self.fleet, opening.service, now)
         )
         is_first_deferral = opening.deferred_at is None
         if opening.deferred_at is None:
@@ -373,7 +356,7 @@
         self, search: HomeSearch, member: Member, holding: Holding, now: float
     ) -> Effects:
         name, service = member.identity.name, member.identity.service
-        self._remember_home(search.flow, name, service, now)
+        self.homes.remember(search.flow, name, service, now)
         fields = {
             "flow": format_flow(search.flow),
             "agent": name,
@@ -412,24 +395,11 @@
             pending_agents
             or not self.has_member_list
             or not search.answers
-            or self._is_partitioned(search, now)
+            or self.finder.is_partitioned(search, now)
         ):
             return [LogEvent("packet-dropped", {**fields, "reason": "home-unknown"})]
         return [LogEvent("flow-reset", {**fields, "reason": "not-held"}), SendReset(segment)]
 
-    def _is_partitioned(self, search: HomeSearch, now: float) -> bool:
-        # If half of the agents are unreachable, it is more likely that this balancer is cut off
-        # than that they have failed.
-        agents = self.fleet.list_agents(search.services)
-        unreachable_count = sum(1 for member in agents if self.fleet.is_unreachable(member, now))
-        return 2 * unreachable_count >= len(agents)
-
-    def _remember_home(self, flow: FlowId, agent: str, service: str, now: float) -> None:
-        self.homes[flow] = Home(agent, service, now)
-        self.homes.move_to_end(flow)
-        if len(self.homes) > HOMES_LIMIT:
-            self.homes.popitem(last=False)
-
     def _forward(self, segment: Segment, member: Member, service: str, purpose: Purpose) -> Forward:
         mark = Mark(purpose, compute_service_tag(service), self.fleet.own.address)
         return Forward(member.identity.address, segment, mark)
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -84,3 +84,14 @@
         not_recently_full or ready or candidates,
         key=lambda member: estimate_delay(member, fleet.own.data_centre, remote_penalty_s),
     )
+
+
+def is_agent_expected_soon(fleet: Fleet, service: str, now: float) -> bool:
+    """Return whether an agent of a service is starting, or all its backend servers are absent."""
+    states = {
+        member.load.availability
+        for member in fleet.list_agents((service,))
+        if not fleet.is_unreachable(member, now)
+    }
+    is_absent = Availability.ABSENT in states and Availability.READY not in states
+    return is_absent or Availability.UNKNOWN in states
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -90,7 +90,7 @@
             search.answers[sender_name] = body.holding
         if search.is_checking_hint:
             return self._ask_agents(search, now)
-        return [] if search.list_pending_agents() else self._advance(search, now)
+        return [] if search.has_pending_agents() else self._advance(search, now)
 
     def handle_returned_packet(self, flow: FlowId, agent_name: str, now: float) -> Effects:
         """Handle the return of the packet with which an agent was probed."""
@@ -118,6 +118,12 @@
         self._asked_in_tick = None
         return combine_questions(effects)
 
+    def is_partitioned(self, search: HomeSearch, now: float) -> bool:
+        """Return whether this balancer rather than half of the agents seems to be cut off."""
+        agents = self.fleet.list_agents(search.services)
+        unreachable_count = sum(1 for member in agents if self.fleet.is_unreachable(member, now))
+        return 2 * unreachable_count >= len(agents)
+
     def discard(self, flow: FlowId) -> None:
         """End the search for a flow's home, if any, without a result."""
         self.searches.pop(flow, None)
@@ -201,7 +207,7 @@
         return self._report_not_found(search, now)
 
     def _advance(self, search: HomeSearch, now: float) -> Effects:
-        if search.list_pending_agents() and search.rounds < LOCATE_ROUNDS_LIMIT:
+        if search.has_pending_agents() and search.rounds < LOCATE_ROUNDS_LIMIT:
             return []
         if search.probe_target:
             return []
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -34,12 +34,21 @@
 it for another reason than busy slots, or returns it although it was marked DELIVER_EVEN_IF_BUSY."""
 
 
+@define(eq=False)
+class DeliveredOpening:
+    """An opening packet that was delivered to the backend server and is not answered yet."""
+
+    segment: Segment
+    delivered_at: float
+
+
 @define(eq=False)
 class PendingOpening:
     """An opening packet whose caller has not answered the handshake yet."""
 
     segment: Segment
     service: str
+    """Service that it opens a flow of; empty until the configuration is known."""
     agent: str
     """Name of the agent that it was last offered to; empty before the first offer."""
     sent_at: float
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -61,6 +61,10 @@
         """Return the names of the agents that have not answered."""
         return [name for name, holding in self.answers.items() if holding is None]
 
+    def has_pending_agents(self) -> bool:
+        """Return whether an agent has not answered."""
+        return None in self.answers.values()
+
     def find_probe_candidate(self) -> str | None:
         """Return the name of an agent that may hold the flow and has not been probed, if any."""
         for name, holding in self.answers.items():
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_failures.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_failures.py
@@ -57,7 +57,7 @@
         agent = cluster.nodes[address]
         assert isinstance(agent, Agent)
         assert agent.describe_load(cluster.now).failing == 0.0
-        assert agent.service_time_s == pytest.approx(0.02, rel=0.1)
+        assert agent.averages.service_time_s == pytest.approx(0.02, rel=0.1)
 
 
 def test_late_copy_of_an_answer_does_not_end_the_next_request(cluster: Cluster) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
@@ -12,8 +12,9 @@
 
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat
-from fescueseam.handshake.balancer import HOMES_LIMIT, Balancer
+from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.effects import Effects, LogEvent
+from fescueseam.handshake.homes import HOMES_LIMIT
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located, Report
@@ -79,7 +80,7 @@
             core.fleet.remove_expired(self.now)
             core.fleet.select_due_members(0.25, self.now)
             core.fleet.select_probed_members(self.now)
-        self.balancer.expire_idle_homes(self.now, 60.0)
+        self.balancer.homes.expire(self.now, 60.0)
 
     @rule(number=addresses)
     def list_member(self, number: int) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -7,8 +7,10 @@
     DEFERRED_TIMEOUT_S,
     REJECTED_BACKOFF_S,
 )
+from fescueseam.handshake.rules import Rules
 from fescueseam.handshake.tests.conftest import (
     ALERTS,
+    RULES,
     Cluster,
     FakeBackend,
     build_flow,
@@ -35,6 +37,23 @@
     assert cluster.resets == []
 
 
+def test_opening_that_arrives_before_the_configuration_is_placed_once_it_is_there() -> None:
+    cluster = Cluster(rules=Rules())
+    balancer = cluster.add_balancer(1)
+    cluster.add_agent(11)
+    cluster.run(0.5)
+    flow, unknown = build_flow(0), (*build_flow(1)[:3], 999)
+    for item in (flow, unknown):
+        cluster.send(build_opening(item), 1)
+    cluster.run(0.1)
+    assert count_all_openings(cluster) == 0
+    balancer.configuration.update_rules(RULES)
+    cluster.run(0.1)
+    assert cluster.answers[flow] == 1
+    assert cluster.answers[unknown] == 0
+    assert balancer.deferred == {}
+
+
 def test_deferred_opening_expires_before_its_caller_gives_up() -> None:
     cluster = Cluster()
     cluster.add_balancer(1)
