Count a far member that ignores two probes as silent, however seldom it reports

Cause: agents of retired servers, whose machines come up for a moment after a loss of power and vanish, were listed as reachable for 9.6 s, three intervals of the reports to another data centre. Their silence kept every dead flow from being reset for that time. A member is still believed for the 4 s of MEMBER_TIMEOUT_S after its last message.

--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -229,4 +229,9 @@
 
     def _report_not_found(self, search: HomeSearch, now: float) -> Effects:
         del self.searches[search.flow]
+        for name in search.list_pending_agents():
+            member = self.fleet.find(name)
+            if member is not None and member.is_without_backend():
+                # Its machine may be gone. It is probed, as its silence keeps flows from being reset.
+                self.fleet.record_unanswered(name, now)
         return self.on_not_found(search, now)
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -29,6 +29,9 @@
 A process restarts within about a second, and the store may still list lost members."""
 PROBE_INTERVAL_S = 0.5
 """Interval of the report requests to a member that left a packet unanswered, in seconds."""
+IGNORED_PROBES_TIMEOUT_S = 1.2
+"""Time after an unanswered packet at which a member has also ignored two report requests, in
+seconds. Then it counts as silent, however seldom it reports."""
 MEMBER_RETENTION_S = 60.0
 """Time without a message after which a member is removed, in seconds: the longest life of an idle
 flow."""
@@ -253,7 +256,13 @@
 
     def _is_silent(self, member: Member, shortest_s: float, now: float) -> bool:
         silence_s = now - member.last_heard_at
-        return silence_s >= shortest_s and silence_s >= self.compute_report_timeout(member)
+        if silence_s < shortest_s:
+            return False
+        has_ignored_probes = (
+            member.unanswered_at is not None
+            and now - member.unanswered_at >= IGNORED_PROBES_TIMEOUT_S
+        )
+        return has_ignored_probes or silence_s >= self.compute_report_timeout(member)
 
     def _update_served_data_centres(self) -> None:
         served = {
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -1,6 +1,6 @@
 """Recovery after all instances lose power at once, while callers keep sending."""
 
-from fescueseam.handshake.member import Availability, Identity, Role
+from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.members import SHORT_MEMBER_TIMEOUT_S
 from fescueseam.handshake.openings import (
     DEFERRED_RETRIES_PER_TICK,
@@ -128,6 +128,24 @@
     assert all(not backend.misrouted_packets for backend in cluster.backends.values())
 
 
+def test_retired_far_agent_that_came_up_for_a_moment_blocks_resets_only_shortly(
+    cluster: Cluster,
+) -> None:
+    balancer = cluster.nodes[1]
+    for number in range(30):
+        far = Identity(f"balancer-{500 + number}", Role.BALANCER, 500 + number, "b")
+        balancer.fleet.record_report(far, Load(), 1, cluster.now)
+    retired = Identity("retired", Role.AGENT, 99, "b", ALERTS, 7)
+    balancer.fleet.record_report(retired, Load(Availability.UNKNOWN), 1, cluster.now)
+    balancer.fleet.collect_reachability_changes(cluster.now)
+    assert balancer.fleet.compute_report_timeout(balancer.fleet.members["retired"]) > 9.0
+    flow = build_flow(0)
+    for _ in range(6):
+        cluster.request(flow, 1)
+        cluster.run(0.5)
+    assert set(cluster.resets) == {flow}
+
+
 def test_openings_do_not_wait_for_a_crashed_backend_while_others_are_full(cluster: Cluster) -> None:
     cluster.nodes[11].backend.unanswered_openings = 9
     for address in (12, 13):
