--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -232,6 +232,6 @@
         for name in search.list_pending_agents():
             member = self.fleet.find(name)
             if member is not None and member.is_without_backend():
-                # Its machine may be gone. It is probed, as its silence keeps flows from being reset.
+                # Its silence keeps flows from being reset; its machine may be gone.
                 self.fleet.record_unanswered(name, now)
         return self.on_not_found(search, now)
