Keep deferred openings in a table of their own

The choice of the openings that are retried in a tick moves beside the other state of openings. No behaviour changes.

--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -1,6 +1,5 @@
 """Decisions of a balancer on the packets of callers."""
 
-import heapq
 from collections.abc import Callable
 from functools import partial
 
@@ -21,14 +20,11 @@
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
-    DEFERRED_LIMIT,
-    DEFERRED_OFFERS_LIMIT,
-    DEFERRED_RETRIES_PER_TICK,
-    DEFERRED_RETRY_INTERVAL_S,
     DEFERRED_TIMEOUT_S,
     DELIVERED_RETENTION_S,
     OFFER_TIMEOUT_S,
     REJECTED_BACKOFF_S,
+    DeferredOpenings,
     PendingOpening,
 )
 from fescueseam.handshake.rules import ActiveConfiguration
@@ -62,8 +58,7 @@
     homes: HomeTable = field(factory=HomeTable)
     offered: dict[FlowId, PendingOpening] = field(factory=dict)
     """Openings that were offered to an agent and may still be returned."""
-    deferred: dict[FlowId, PendingOpening] = field(factory=dict)
-    """Openings that wait for an agent to become ready."""
+    deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     finder: HomeFinder = field(init=False)
 
@@ -160,26 +155,12 @@
                     partial(self.discard_flow, flow),
                 )
         effects += self.finder.tick(now, heard_until)
-        # Only a few are retried at a time, the oldest first: their outcome shows whether agents
-        # accept flows again.
-        oldest = heapq.nsmallest(
-            DEFERRED_RETRIES_PER_TICK,
-            self.deferred.items(),
-            key=lambda item: item[1].deferred_at or now,
-        )
-        for flow, opening in oldest:
-            if now - opening.sent_at >= DEFERRED_RETRY_INTERVAL_S:
-                del self.deferred[flow]
-                opening.tried_agents.clear()
-                opening.rejecting_agents.clear()
-                # It has waited longer than for a slot already.
-                opening.even_if_busy = True
-                opening.offers_left = DEFERRED_OFFERS_LIMIT
-                effects += contain(
-                    "deferred-retry",
-                    partial(self._place_pending, opening, flow, now),
-                    partial(self.discard_flow, flow),
-                )
+        for flow, opening in self.deferred.take_due(now):
+            effects += contain(
+                "deferred-retry",
+                partial(self._place_pending, opening, flow, now),
+                partial(self.discard_flow, flow),
+            )
         return effects
 
     def discard_flow(self, flow: FlowId) -> None:
@@ -296,7 +277,7 @@
         is_first_deferral = opening.deferred_at is None
         if opening.deferred_at is None:
             opening.deferred_at = now
-        if not is_agent_expected or len(self.deferred) >= DEFERRED_LIMIT:
+        if not is_agent_expected or not self.deferred.has_room():
             return self._refuse(opening.segment, flow, reason, now, opening.service)
         if now - opening.deferred_at >= DEFERRED_TIMEOUT_S:
             fields = {"flow": format_flow(flow), "service": opening.service, "reason": "waited"}
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -1,9 +1,11 @@
 """Opening packets that wait for an agent or for the end of the handshake, and their timeouts."""
 
+import heapq
+
 from attrs import define, field
 
 from fescueseam.handshake.free_slots import FREE_SLOT_OFFERS_LIMIT
-from fescueseam.handshake.segments import Segment
+from fescueseam.handshake.segments import FlowId, Segment
 
 OFFER_TIMEOUT_S = 0.06
 """Longest time to wait for an agent's answer to an offered opening, in seconds. Then the opening is
@@ -70,3 +72,34 @@
     """Time at which it was first deferred; None before that."""
     delivered: bool = False
     """Whether the agent has delivered the opening to its backend server."""
+
+    def reset_for_retry(self) -> None:
+        """Forget earlier attempts, before a deferred opening is placed again."""
+        self.tried_agents.clear()
+        self.rejecting_agents.clear()
+        # It has waited longer than for a slot already.
+        self.even_if_busy = True
+        self.offers_left = DEFERRED_OFFERS_LIMIT
+
+
+class DeferredOpenings(dict[FlowId, PendingOpening]):
+    """Openings that wait for an agent to become ready."""
+
+    def has_room(self) -> bool:
+        """Return whether one more opening may be deferred."""
+        return len(self) < DEFERRED_LIMIT
+
+    def take_due(self, now: float) -> list[tuple[FlowId, PendingOpening]]:
+        """Remove and return the openings to be retried now.
+
+        Only a few are retried at a time, the oldest first: their outcome shows whether agents
+        accept flows again.
+        """
+        oldest = heapq.nsmallest(
+            DEFERRED_RETRIES_PER_TICK, self.items(), key=lambda item: item[1].deferred_at or now
+        )
+        due = [item for item in oldest if now - item[1].sent_at >= DEFERRED_RETRY_INTERVAL_S]
+        for flow, opening in due:
+            del self[flow]
+            opening.reset_for_retry()
+        return due
