Probe a seldom heard agent for 4 s before its flows are given up

Cause, read from the code and shown by a test: a far agent reports every few seconds in a large fleet. Once 4 s had passed since its last report, a single packet that it left unanswered and 1.2 s more made it count as gone, and its open flows were reset.

An agent that knows a backend server now has to ignore probes for 4 s, the time that near agents have. One without a server, such as that of a retired machine, keeps the 1.2 s: it holds no flows.

test_flow_survives_while_its_seldom_heard_agent_is_frozen_for_a_moment fails before.

--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -31,7 +31,7 @@
 """Interval of the report requests to a member that left a packet unanswered, in seconds."""
 IGNORED_PROBES_TIMEOUT_S = 1.2
 """Time after an unanswered packet at which a member has also ignored two report requests, in
-seconds. Then it counts as silent, however seldom it reports."""
+seconds. Then one without a backend server counts as silent, however seldom it reports."""
 MEMBER_RETENTION_S = 60.0
 """Time without a message after which a member is removed, in seconds: the longest life of an idle
 flow."""
@@ -258,9 +258,10 @@
         silence_s = now - member.last_heard_at
         if silence_s < shortest_s:
             return False
+        # A member that may hold flows can be frozen for a moment, so it is probed for longer.
+        probing_s = IGNORED_PROBES_TIMEOUT_S if member.is_without_backend() else MEMBER_TIMEOUT_S
         has_ignored_probes = (
-            member.unanswered_at is not None
-            and now - member.unanswered_at >= IGNORED_PROBES_TIMEOUT_S
+            member.unanswered_at is not None and now - member.unanswered_at >= probing_s
         )
         return has_ignored_probes or silence_s >= self.compute_report_timeout(member)
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_flows_survive.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_flows_survive.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from fescueseam.handshake.members import MEMBER_TIMEOUT_S
+from fescueseam.handshake.member import Identity, Load, Role
+from fescueseam.handshake.members import IGNORED_PROBES_TIMEOUT_S, MEMBER_TIMEOUT_S
 from fescueseam.handshake.tests.conftest import (
     INTAKE,
     Cluster,
@@ -197,3 +198,32 @@
     cluster.send(build_opening(build_flow(0), attempt=1), 1)
     cluster.run(0.05)
     assert sum(len(backend.opening_times) for backend in cluster.backends.values()) == 1
+
+
+def test_flow_survives_while_its_seldom_heard_agent_is_frozen_for_a_moment() -> None:
+    cluster = Cluster()
+    cluster.add_balancer(1, "a")
+    cluster.add_balancer(2, "b")
+    for address in (11, 12, 13):
+        cluster.add_agent(address, data_centre="b")
+    cluster.run(3.0)
+    balancer, flow = cluster.nodes[1], build_flow(0)
+    for number in range(30):
+        far = Identity(f"balancer-{500 + number}", Role.BALANCER, 500 + number, "b")
+        balancer.fleet.record_report(far, Load(), 1, cluster.now)
+    balancer.fleet.collect_reachability_changes(cluster.now)
+    cluster.open(flow, 1)
+    home = cluster.find_home(flow)
+    assert home is not None
+    cluster.lost_reports.add((home, 1))
+    cluster.run(MEMBER_TIMEOUT_S + 0.1)
+    cluster.disconnected.add(home)
+    balancer.fleet.record_unanswered(f"agent-{home}", cluster.now)
+    cluster.run(IGNORED_PROBES_TIMEOUT_S + 0.3)
+    cluster.request(flow, balancer=1)
+    cluster.run(0.5)
+    assert cluster.resets == []
+    cluster.disconnected.discard(home)
+    cluster.request(flow, balancer=1)
+    cluster.run(0.1)
+    assert cluster.backends[home].served == 1
