Sign notices between processes where keys are set, and reject repeated and outdated ones

Cause, read from the code: any process that reaches the notice port could report loads, and a notice of an earlier start of its sender that arrived late was taken for the newest (sequence numbers were compared within one start only). An agent that had restarted beside a server that leaves could so be believed ready again until its next report, up to 15 s in a large fleet.

Incarnations now begin with the time of the start, and a guard accepts each notice of the current start once. A start that looks earlier, as after a clock was set back, is accepted from its second notice on, so no process is shut out. With keys in the settings notices carry the tag that the messages of the product's own interface carry; SIGHUP reads the keys again. The users' platform gives no keys, so there they are not set. Packets between processes are not signed.

The window of sequence numbers and the checks of keys move to where both interfaces use them.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -8,8 +8,7 @@
 import trio
 from attrs import define, field
 
-from fescueseam.exceptions import MessageError, PacketError, StoreError
-from fescueseam.handshake.codec import decode_notice, encode_notice
+from fescueseam.exceptions import ErrorKind, MessageError, PacketError, StoreError
 from fescueseam.handshake.containment import build_failure_event
 from fescueseam.handshake.effects import (
     Deliver,
@@ -28,6 +27,7 @@
 from fescueseam.retries.backoff import compute_backoff
 from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.handshake.events import EventLog
+from fescueseam_daemon.handshake.notice_codec import NoticeCodec
 from fescueseam_daemon.handshake.platform_interface import ControlStore, Platform
 from fescueseam_daemon.handshake.settings import HandshakeSettings, SocketAddress
 from fescueseam_daemon.handshake.udp import UdpSocket
@@ -101,13 +101,14 @@
     edge_socket: UdpSocket = field(init=False)
     """Socket for packets of callers (balancers) or of the backend server (agents)."""
     barrier: FailureBarrier = field(init=False)
-    _sequence: int = 0
-    _last_encoded: tuple[NoticeBody | None, bytes] = (None, b"")
+    notice_codec: NoticeCodec = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.fleet = Fleet(self.own)
         self.barrier = FailureBarrier(self._record_failure)
+        self.notice_codec = NoticeCodec(self.own)
+        self.notice_codec.set_keys(settings.keys)
         self.store = self.platform.open_store(settings.store.address, settings.store.port)
         self.store_status = DependencyStatus("store", self.events)
         self.notice_socket = UdpSocket(settings.address, settings.peer_port + NOTICE_PORT_OFFSET)
@@ -167,24 +168,21 @@
             return None
 
     def decode_notice(self, data: bytes, sender: str) -> Notice | None:
-        """Decode and count a notice; log a malformed one and return None."""
+        """Decode and count a notice; log one that is rejected and return None."""
         try:
-            notice = decode_notice(data)
+            notice = self.notice_codec.decode(data)
             self.events.count_message("received", type(notice.body).__name__.lower(), len(data))
             return notice
         except MessageError as exc:
             fields = {"reason": exc.kind.value, "sender": sender, "cause": str(exc)}
-            self.log_event("notice-malformed", fields)
+            is_malformed = exc.kind is ErrorKind.MALFORMED_MESSAGE
+            self.log_event("notice-malformed" if is_malformed else "notice-rejected", fields)
             return None
 
     def send_notice(self, address: int, body: NoticeBody) -> None:
-        """Send a notice; a body that is sent to several members in a row is encoded once."""
-        if self._last_encoded[0] is not body:
-            self._sequence += 1
-            notice = Notice(self.own.name, self.own.incarnation, self._sequence, body)
-            self._last_encoded = (body, encode_notice(notice))
+        """Send a notice to the process at an address."""
         port = self.settings.peer_port + NOTICE_PORT_OFFSET
-        data = self._last_encoded[1]
+        data = self.notice_codec.encode(body)
         self.events.count_message("sent", type(body).__name__.lower(), len(data))
         self.notice_socket.send(data, format_address(address), port)
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import time
 from pathlib import Path
 
 import trio
@@ -10,6 +11,7 @@
 
 from fescueseam.exceptions import SettingsError
 from fescueseam.handshake.member import Identity, Role
+from fescueseam.handshake.notice_guard import RANDOM_INCARNATION_BITS, build_incarnation
 from fescueseam.handshake.segments import parse_address
 from fescueseam_daemon.handshake.agent import AgentProcess
 from fescueseam_daemon.handshake.balancer import BalancerProcess
@@ -18,8 +20,7 @@
 from fescueseam_daemon.handshake.platform_interface import Platform
 from fescueseam_daemon.handshake.settings import HandshakeSettings, load_settings
 
-INCARNATION_BITS = 63
-RELOADABLE_SETTINGS = ("seeds", "log_lines_per_s", "remote_penalty_s")
+RELOADABLE_SETTINGS = ("seeds", "log_lines_per_s", "remote_penalty_s", "keys")
 """Settings that SIGHUP changes in a running process."""
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -49,7 +50,7 @@
         parse_address(settings.advertised),
         settings.data_centre,
         settings.service,
-        rng.getrandbits(INCARNATION_BITS),
+        build_incarnation(round(time.time() * 1000), rng.getrandbits(RANDOM_INCARNATION_BITS)),
     )
     node = Node(settings, platform, events, rng, own, started_ms)
     process: AgentProcess | BalancerProcess
@@ -88,6 +89,7 @@
     changes = {name: getattr(settings, name) for name in RELOADABLE_SETTINGS}
     node.settings = evolve(node.settings, **changes)
     node.events.max_lines_per_s = settings.log_lines_per_s
+    node.notice_codec.set_keys(settings.keys)
     fields = {
         "seeds": [str(seed) for seed in settings.seeds],
         "kept_until_start": [
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -3,16 +3,20 @@
 import json
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import frozen
 
 from fescueseam.checks.faults import Fault, FaultId, has_errors
+from fescueseam.checks.keys import check_key_values
 from fescueseam.exceptions import SettingsError
 from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S
 from fescueseam.handshake.member import Role
 from fescueseam.handshake.segments import parse_address
 
+if TYPE_CHECKING:
+    from fescueseam.conf.models import KeySettings
+
 MAX_PORT = 65_535
 MAX_REMOTE_PENALTY_MS = 10_000
 """Largest preference for servers of the own data centre, in milliseconds."""
@@ -61,6 +65,8 @@
     log_lines_per_s: float = DEFAULT_LOG_LINES_PER_S
     remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S
     """Wait for a slot in the own data centre that a balancer prefers to a server in another one."""
+    keys: "tuple[KeySettings, ...]" = ()
+    """Keys of the notices between processes; the first signs. Without any, they are not signed."""
 
 
 KEY_TYPES: dict[str, tuple[type, ...]] = {
@@ -83,6 +89,7 @@
     "metrics_port": (int,),
     "log_lines_per_s": (int, float),
     "remote_penalty_ms": (int, float),
+    "keys": (list,),
 }
 """Accepted types of the value of each key."""
 OPTIONAL_KEYS = {
@@ -94,6 +101,7 @@
     "seeds",
     "log_lines_per_s",
     "remote_penalty_ms",
+    "keys",
 }
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 AGENT_KEYS = ("heartbeats", "answers", "backend", "service")
@@ -168,6 +176,8 @@
             yield from _check_parses(
                 parse_socket_address, f"seeds[{index}]", seed, FaultId.BAD_ADDRESS, file_name
             )
+    if key == "keys":
+        yield from _check_keys(value, file_name)
     last_port = MAX_PORT - PEER_PORT_COUNT + 1 if key == "peer_port" else MAX_PORT
     if key in ("peer_port", "peer_port_last", "metrics_port") and not 1 <= value <= last_port:
         hint = f"use 1 to {last_port}"
@@ -189,6 +199,16 @@
         yield Fault(FaultId.BAD_PORT, "peer_port_last", message, hint, file_name)
 
 
+def _check_keys(values: list[Any], file_name: str) -> Iterator[Fault]:
+    for index, item in enumerate(values):
+        is_key = isinstance(item, dict) and item.keys() == {"key_id", "secret"}
+        if not is_key or type(item["key_id"]) is not int or not isinstance(item["secret"], str):
+            hint = "write an object with key_id, a number, and secret, a string"
+            yield Fault(FaultId.WRONG_TYPE, f"keys[{index}]", "not a key", hint, file_name)
+            return
+    yield from check_key_values(((item["key_id"], item["secret"]) for item in values), file_name)
+
+
 def _check_parses(
     parse: Callable[[str], object], path: str, value: Any, fault_id: FaultId, file_name: str
 ) -> Iterator[Fault]:
@@ -244,4 +264,14 @@
         metrics_port=values["metrics_port"],
         log_lines_per_s=float(values.get("log_lines_per_s") or DEFAULT_LOG_LINES_PER_S),
         remote_penalty_s=(values.get("remote_penalty_ms", DEFAULT_REMOTE_PENALTY_S * 1000) / 1000),
+        keys=_build_keys(values.get("keys", [])),
     )
+
+
+def _build_keys(values: list[dict[str, Any]]) -> "tuple[KeySettings, ...]":
+    if not values:
+        return ()
+    # Imported on first use to keep the start of a process without keys short.
+    from fescueseam.conf.models import KeySettings
+
+    return tuple(KeySettings(item["key_id"], item["secret"]) for item in values)
--- a/packages/fescueseam/src/fescueseam/checks/process.py
+++ b/packages/fescueseam/src/fescueseam/checks/process.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from fescueseam.checks.faults import Fault, FaultId
+from fescueseam.checks.keys import check_key_values
 from fescueseam.checks.registry import register_check
 from fescueseam.checks.values import (
     MAX_PORT,
@@ -15,8 +16,6 @@
 )
 from fescueseam.conf.models import ProcessSettings, Role
 
-MIN_SECRET_LENGTH = 32
-MAX_KEY_ID = 255
 MAX_DRAIN_TIMEOUT_S = 86_400.0
 LOG_FORMATS = ("json", "text")
 
@@ -51,17 +50,7 @@
     if not settings.keys:
         hint = "add one; the first key signs"
         yield Fault(FaultId.BAD_KEY, "keys", "no key is set", hint)
-    seen_ids: set[int] = set()
-    for index, key in enumerate(settings.keys):
-        path = f"keys[{index}]"
-        yield from check_range(f"{path}.key_id", key.key_id, 0, MAX_KEY_ID)
-        if key.key_id in seen_ids:
-            yield Fault(FaultId.BAD_KEY, f"{path}.key_id", f"the id {key.key_id} is used twice")
-        seen_ids.add(key.key_id)
-        if len(key.secret) < MIN_SECRET_LENGTH:
-            message = f"the secret has {len(key.secret)} characters"
-            hint = f"use at least {MIN_SECRET_LENGTH}"
-            yield Fault(FaultId.BAD_KEY, f"{path}.secret", message, hint)
+    yield from check_key_values((key.key_id, key.secret) for key in settings.keys)
 
 
 @register_check(ProcessSettings)
--- a/packages/fescueseam/src/fescueseam/checks/tests/test_checks.py
+++ b/packages/fescueseam/src/fescueseam/checks/tests/test_checks.py
@@ -1,8 +1,9 @@
 import pytest
 from attrs import evolve, frozen
 
-from fescueseam.checks import configuration, process
+from fescueseam.checks import configuration
 from fescueseam.checks.faults import SUMMARIES, Fault, FaultId, FaultLevel, has_errors
+from fescueseam.checks.keys import MIN_SECRET_LENGTH
 from fescueseam.checks.registry import register_check, run_checks
 from fescueseam.conf.models import (
     AdmissionRules,
@@ -134,7 +135,7 @@
 def test_valid_settings_have_no_faults() -> None:
     assert run_checks(CFG) == run_checks(AGENT) == ()
     assert AdmissionRules().slots < configuration.MAX_SLOTS
-    assert len(KEY.secret) >= process.MIN_SECRET_LENGTH
+    assert len(KEY.secret) >= MIN_SECRET_LENGTH
 
 
 def test_every_fault_id_has_a_summary_and_a_level() -> None:
--- a/packages/fescueseam/src/fescueseam/messages/authentication.py
+++ b/packages/fescueseam/src/fescueseam/messages/authentication.py
@@ -5,13 +5,15 @@
 import struct
 from collections import OrderedDict
 from collections.abc import Hashable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from attrs import field, frozen
 
-from fescueseam.conf.models import KeySettings
 from fescueseam.exceptions import ErrorKind, MessageError
 
+if TYPE_CHECKING:
+    from fescueseam.conf.models import KeySettings
+
 PROTOCOL_VERSION = 1
 MAX_DATAGRAM_BYTES = 9000
 TAG_BYTES = 16
@@ -75,7 +77,7 @@
     packet: bytes = field(repr=False)
 
 
-def build_keyring(keys: tuple[KeySettings, ...]) -> Keyring:
+def build_keyring(keys: "tuple[KeySettings, ...]") -> Keyring:
     """Return a keyring whose first key signs; raise MessageError if the settings have no key."""
     if not keys:
         raise MessageError("no key is configured", ErrorKind.INVALID_SETTINGS)
--- a/packages/fescueseam/src/fescueseam/messages/replay.py
+++ b/packages/fescueseam/src/fescueseam/messages/replay.py
@@ -11,11 +11,35 @@
 
 
 @define
-class _SenderWindow:
-    incarnation: int
+class SequenceWindow:
+    """The sequence numbers of one sender that were received, newest first."""
+
     highest_sequence: int = 0
     seen_bitmap: int = 0
 
+    def record(self, sequence: int) -> None:
+        """Record a sequence number; raise MessageError if it is old or was received before."""
+        if sequence > self.highest_sequence:
+            shift = sequence - self.highest_sequence
+            mask = (1 << REPLAY_WINDOW_MESSAGES) - 1
+            self.seen_bitmap = (
+                ((self.seen_bitmap << shift) | 1) & mask if shift < REPLAY_WINDOW_MESSAGES else 1
+            )
+            self.highest_sequence = sequence
+            return
+        age = self.highest_sequence - sequence
+        if age >= REPLAY_WINDOW_MESSAGES or self.seen_bitmap >> age & 1:
+            raise MessageError(
+                "sequence number was received before or is too old", ErrorKind.REPLAYED_MESSAGE
+            )
+        self.seen_bitmap |= 1 << age
+
+
+@define
+class _SenderWindow:
+    incarnation: int
+    sequences: SequenceWindow = field(factory=SequenceWindow)
+
 
 @define
 class ReplayGuard:
@@ -30,7 +54,7 @@
             window = self._start_window(sender, incarnation)
         if incarnation < window.incarnation:
             raise MessageError("the sender has a newer incarnation", ErrorKind.REPLAYED_MESSAGE)
-        self._record_sequence(window, sequence)
+        window.sequences.record(sequence)
 
     def _start_window(self, sender: str, incarnation: int) -> _SenderWindow:
         window = _SenderWindow(incarnation)
@@ -39,20 +63,3 @@
         if len(self._windows) > MAX_TRACKED_SENDERS:
             self._windows.popitem(last=False)
         return window
-
-    @staticmethod
-    def _record_sequence(window: _SenderWindow, sequence: int) -> None:
-        if sequence > window.highest_sequence:
-            shift = sequence - window.highest_sequence
-            mask = (1 << REPLAY_WINDOW_MESSAGES) - 1
-            window.seen_bitmap = (
-                ((window.seen_bitmap << shift) | 1) & mask if shift < REPLAY_WINDOW_MESSAGES else 1
-            )
-            window.highest_sequence = sequence
-            return
-        age = window.highest_sequence - sequence
-        if age >= REPLAY_WINDOW_MESSAGES or window.seen_bitmap >> age & 1:
-            raise MessageError(
-                "sequence number was received before or is too old", ErrorKind.REPLAYED_MESSAGE
-            )
-        window.seen_bitmap |= 1 << age
