--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/rules_codec.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/rules_codec.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from fescueseam.exceptions import MessageError
-from fescueseam.handshake.rules import Route, RouteShare, Rules, ServiceRules
+from fescueseam.handshake.rules import Route, RouteShare, Rules, ServiceRules, validate_rules
 
 
 def encode_rules(rules: Rules) -> bytes:
@@ -30,7 +30,7 @@
     """Decode a configuration; raise MessageError if it is not valid."""
     try:
         value: dict[str, Any] = json.loads(data)
-        return Rules(
+        rules = Rules(
             version=int(value["version"]),
             routes=tuple(
                 Route(
@@ -46,5 +46,6 @@
             ),
             idle_timeout_s=float(value["idle_timeout_s"]),
         )
-    except (ValueError, TypeError, KeyError) as exc:
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as exc:
         raise MessageError(f"configuration of a peer is not valid: {exc}") from exc
+    return validate_rules(rules)
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -1,11 +1,15 @@
 """Configuration in force: routes, services and data centres that are taken out."""
 
+import math
+
 from attrs import define, field, frozen
 
+from fescueseam.exceptions import MessageError
 from fescueseam.handshake.segments import FlowId
 
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 """Idle timeout of flows until a configuration states one, in seconds."""
+MAX_PORT = 65_535
 
 
 @frozen
@@ -45,6 +49,18 @@
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
 
+def validate_rules(rules: Rules) -> Rules:
+    """Return the rules; raise MessageError if a number in them is out of range."""
+    numbers = [rules.idle_timeout_s]
+    numbers += [item.cold_openings_per_s for item in rules.services]
+    numbers += [share.weight for route in rules.routes for share in route.shares]
+    if rules.version < 0 or not all(math.isfinite(item) and item >= 0 for item in numbers):
+        raise MessageError("a number in the configuration is negative or not finite")
+    if not all(1 <= route.port <= MAX_PORT for route in rules.routes):
+        raise MessageError("the port of a route is out of range")
+    return rules
+
+
 @frozen
 class Outage:
     """Data centres that operators have taken out, at one revision of the store."""
