--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_notice_codec.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_notice_codec.py
@@ -1,6 +1,7 @@
 """Signed notices, and the rotation of their keys while processes run."""
 
 import time
+import timeit
 
 import pytest
 
@@ -80,8 +81,11 @@
     costs = []
     for keys in ((), (OLD,)):
         sender, receiver = build_codec(SENDER, *keys), build_codec(RECEIVER, *keys)
-        started = time.process_time()
-        for _ in range(500):
+
+        def exchange(sender: NoticeCodec = sender, receiver: NoticeCodec = receiver) -> None:
             receiver.decode(sender.encode(Locate(FLOW, "alerts")))
-        costs.append((time.process_time() - started) / 500)
+
+        # The least of several runs leaves out collections of other tests' garbage.
+        runs = timeit.repeat(exchange, timer=time.process_time, repeat=5, number=200)
+        costs.append(min(runs) / 200)
     assert costs[1] - costs[0] < COST_BOUND_S
