Bound the packets that wait for homes, the offered openings and the members

Cause, read from the code: 4,096 searches of 17 full packets each take some 80 MB, on instances of 114 MB; offered openings and members had no limit. Packets of all searches now share a limit, openings beyond theirs are refused at once, and members beyond the largest planned fleet are not added.

--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -23,6 +23,7 @@
     DEFERRED_TIMEOUT_S,
     DELIVERED_RETENTION_S,
     OFFER_TIMEOUT_S,
+    OFFERED_LIMIT,
     REJECTED_BACKOFF_S,
     DeferredOpenings,
     PendingOpening,
@@ -79,7 +80,7 @@
         flow = segment.get_flow_from_caller()
         search = self.searches.get(flow)
         if search is not None:
-            search.buffer_segment(segment)
+            self.finder.buffer_segment(search, segment)
             return []
         if segment.opens:
             # A deferred opening is retried by tick(); a retransmission of it needs no action.
@@ -184,6 +185,8 @@
         service = self.configuration.choose_service(flow)
         if service is None:
             return self._refuse(segment, flow, "no-route", now)
+        if len(self.offered) >= OFFERED_LIMIT:
+            return self._refuse(segment, flow, "too-many", now, service)
         if segment.attempt == 0:
             return self._start_placement(segment, flow, service, set(), now)
         opening, home = self.offered.get(flow), self.homes.get(flow)
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -12,6 +12,7 @@
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.questions import QuestionBudget, combine_questions
 from fescueseam.handshake.searches import (
+    BUFFERED_SEGMENTS_IN_ALL_LIMIT,
     HINT_TIMEOUT_S,
     LOCATE_RETRY_INTERVAL_S,
     LOCATE_ROUNDS_LIMIT,
@@ -41,6 +42,8 @@
     on_found: FoundHandler
     on_not_found: NotFoundHandler
     searches: dict[FlowId, HomeSearch] = field(factory=dict)
+    buffered_segments: int = 0
+    """Number of packets that wait for the end of a search."""
     budget: QuestionBudget = field(factory=QuestionBudget)
     _asked_in_tick: set[str] | None = None
     """Agents to which this tick sends a question anyway, so that more flows in it cost nothing;
@@ -64,8 +67,8 @@
                 LogEvent("packet-dropped", {"flow": format_flow(flow), "reason": "searches-full"})
             ]
         search = HomeSearch(flow, services, now, now + HINT_TIMEOUT_S, excluded_agent)
-        search.buffer_segment(segment)
         self.searches[flow] = search
+        self.buffer_segment(search, segment)
         neighbours = self.fleet.list_neighbours(now)
         if not neighbours or not self.budget.take(len(neighbours), now):
             return self._ask_agents(search, now)
@@ -73,6 +76,12 @@
         body = Locate(flow, services[0])
         return [SendNotice(member.identity.address, body) for member in neighbours]
 
+    def buffer_segment(self, search: HomeSearch, segment: Segment) -> None:
+        """Let a packet wait for the end of the search for its flow, if there is room."""
+        has_room = self.buffered_segments < BUFFERED_SEGMENTS_IN_ALL_LIMIT
+        if not search.segments or has_room:
+            self.buffered_segments += search.buffer_segment(segment)
+
     def handle_located(self, sender_name: str, body: Located, now: float) -> Effects:
         """Handle the answer of an agent or of a neighbouring balancer."""
         search = self.searches.get(body.flow)
@@ -84,7 +93,7 @@
             member = self.fleet.find(sender_name)
             if member is None:
                 return []
-            del self.searches[search.flow]
+            self.discard(search.flow)
             return self.on_found(search, member, body.holding, now)
         if search.answers[sender_name] is None:
             search.answers[sender_name] = body.holding
@@ -125,8 +134,10 @@
         return 2 * unreachable_count >= len(agents)
 
     def discard(self, flow: FlowId) -> None:
-        """End the search for a flow's home, if any, without a result."""
-        self.searches.pop(flow, None)
+        """End the search for a flow's home, if any."""
+        search = self.searches.pop(flow, None)
+        if search is not None:
+            self.buffered_segments -= len(search.segments)
 
     def _handle_hint(
         self, search: HomeSearch, balancer_name: str, body: Located, now: float
@@ -136,7 +147,7 @@
         if member is None or self.fleet.is_unreachable(member, now):
             return [] if search.pending_hints else self._ask_agents(search, now)
         if search.has_only_openings():
-            del self.searches[search.flow]
+            self.discard(search.flow)
             return self.on_found(search, member, body.holding, now)
         # The hint may be stale, and packets must not reach a backend server without the flow, so
         # the agent is asked first.
@@ -228,7 +239,7 @@
         return [Forward(member.identity.address, search.segments[0], mark)]
 
     def _report_not_found(self, search: HomeSearch, now: float) -> Effects:
-        del self.searches[search.flow]
+        self.discard(search.flow)
         for name in search.list_pending_agents():
             member = self.fleet.find(name)
             if member is not None and member.is_without_backend():
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -32,6 +32,8 @@
 IGNORED_PROBES_TIMEOUT_S = 1.2
 """Time after an unanswered packet at which a member has also ignored two report requests, in
 seconds. Then one without a backend server counts as silent, however seldom it reports."""
+MEMBERS_LIMIT = 16_384
+"""Largest number of members; further ones are not added. It exceeds the largest planned fleet."""
 MEMBER_RETENTION_S = 60.0
 """Time without a message after which a member is removed, in seconds: the longest life of an idle
 flow."""
@@ -64,8 +66,7 @@
             for item in (known, holder)
         ):
             return False
-        self._add(identity, now)
-        return True
+        return self._add(identity, now) is not None
 
     def record_report(self, identity: Identity, load: Load, sequence: int, now: float) -> bool:
         """Record a member's report; return whether its identity or state changed."""
@@ -85,6 +86,8 @@
         else:
             known = self._add(identity, now)
             changed = True
+        if known is None:
+            return False
         if load.availability is Availability.UNKNOWN and known.load.availability in LEAVING_STATES:
             # The agent has restarted and does not know yet that its server drains or has left.
             load = evolve(load, availability=known.load.availability)
@@ -235,11 +238,13 @@
             self._remove(member)
         return [member.identity for member in expired]
 
-    def _add(self, identity: Identity, now: float) -> Member:
+    def _add(self, identity: Identity, now: float) -> Member | None:
         # An address belongs to one process at a time, so a new member replaces the earlier one.
         for earlier in (self.find_by_address(identity.address), self.members.get(identity.name)):
             if earlier is not None:
                 self._remove(earlier)
+        if len(self.members) >= MEMBERS_LIMIT:
+            return None
         member = Member(identity, now)
         self.members[identity.name] = self._by_address[identity.address] = member
         self._clear_caches()
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -15,6 +15,8 @@
 OFFERS_LIMIT = 12
 """Largest number of offers of one opening: a search for a free slot and a few requests to queue
 it. More would not end before the caller retransmits the opening."""
+OFFERED_LIMIT = 8192
+"""Largest number of offered openings that are remembered: those of 0.4 s at 20,000 a second."""
 DEFERRED_OFFERS_LIMIT = 2
 """Largest number of offers in each attempt to place a deferred opening."""
 DEFERRED_TIMEOUT_S = 1.2
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -15,6 +15,9 @@
 the time that they take."""
 BUFFERED_SEGMENTS_LIMIT = 17
 """Largest number of packets buffered for one flow: a full window and an opening packet."""
+BUFFERED_SEGMENTS_IN_ALL_LIMIT = 8192
+"""Largest number of packets buffered for all flows: some 12 MB of full packets. Beyond it each
+search keeps one packet, and callers retransmit the others."""
 SEARCHES_LIMIT = 4096
 """Largest number of searches in progress; packets of further flows are dropped, and callers
 retransmit them."""
@@ -52,10 +55,12 @@
     segments: list[Segment] = field(factory=list)
     """Packets that wait for the home, in order of arrival."""
 
-    def buffer_segment(self, segment: Segment) -> None:
-        """Buffer a packet until the home is known; beyond the limit, callers retransmit it."""
-        if len(self.segments) < BUFFERED_SEGMENTS_LIMIT:
+    def buffer_segment(self, segment: Segment) -> bool:
+        """Buffer a packet until the home is known; return whether there was room for it."""
+        has_room = len(self.segments) < BUFFERED_SEGMENTS_LIMIT
+        if has_room:
             self.segments.append(segment)
+        return has_room
 
     def list_pending_agents(self) -> list[str]:
         """Return the names of the agents that have not answered."""
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_members.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import evolve
 
+from fescueseam.handshake import members
 from fescueseam.handshake.choice import choose_agent
 from fescueseam.handshake.member import Availability, Identity, Load, Member, Role
 from fescueseam.handshake.members import IGNORED_PROBES_TIMEOUT_S, MEMBER_TIMEOUT_S, Fleet
@@ -213,6 +214,17 @@
     assert fleet.is_unreachable(far, 1.0 + IGNORED_PROBES_TIMEOUT_S)
 
 
+def test_members_beyond_the_limit_are_not_added(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(members, "MEMBERS_LIMIT", 10)
+    fleet = build_fleet(10)
+    further = Identity("further", Role.BALANCER, 999, "a")
+    assert not fleet.record_report(further, Load(), 1, 1.0)
+    assert not fleet.add_listed(further, 1.0)
+    assert len(fleet.members) == 10
+    again = Identity("agent-001", Role.AGENT, 101, "a", ALERTS, 7)
+    assert fleet.record_report(again, Load(Availability.READY), 1, 1.0)
+
+
 def test_lookups_by_service_and_address_follow_changes() -> None:
     fleet = build_fleet(6)
     assert [item.identity.address for item in fleet.list_agents((ALERTS,))] == [101, 103, 105]
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
+from fescueseam.handshake import balancer as balancer_module
+from fescueseam.handshake import finder
+from fescueseam.handshake.balancer import STARTUP_GRACE_S
+from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.notices import Holding, Locate, LocateBatch, Located
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S, OFFERS_LIMIT
 from fescueseam.handshake.questions import (
@@ -129,6 +132,51 @@
     assert large_cluster.answers[build_flow(0)] == 1
 
 
+def test_packets_that_wait_for_homes_are_bounded_in_all(
+    large_cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(finder, "BUFFERED_SEGMENTS_IN_ALL_LIMIT", 100)
+    large_cluster.disconnected |= set(AGENTS)
+    balancer = large_cluster.nodes[1]
+    for number in range(60):
+        for part in range(5):
+            segment = build_segment(build_flow(number), sequence=1000 + part, data_bytes=100)
+            balancer.handle_packet(segment, large_cluster.now)
+    # 20 searches fill the buffer; the 40 later ones keep their first packet.
+    assert balancer.finder.buffered_segments == 140
+    assert sum(len(item.segments) for item in balancer.searches.values()) == 140
+    assert len(balancer.searches) == 60
+    for flow in list(balancer.searches):
+        balancer.discard_flow(flow)
+    assert balancer.finder.buffered_segments == 0
+
+
+def test_buffered_packets_are_released_at_the_end_of_their_searches(
+    large_cluster: Cluster,
+) -> None:
+    for number in range(DEAD_FLOWS):
+        large_cluster.request(build_flow(number), 1)
+    large_cluster.run(0.02)
+    assert large_cluster.nodes[1].finder.buffered_segments > 0
+    large_cluster.run(2.0)
+    assert large_cluster.nodes[1].searches == {}
+    assert large_cluster.nodes[1].finder.buffered_segments == 0
+
+
+def test_openings_beyond_the_limit_are_refused_at_once(
+    large_cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(balancer_module, "OFFERED_LIMIT", 20)
+    large_cluster.run(STARTUP_GRACE_S)
+    large_cluster.disconnected |= set(AGENTS)
+    balancer = large_cluster.nodes[1]
+    effects: Effects = []
+    for number in range(30):
+        effects += balancer.handle_packet(build_opening(build_flow(number)), large_cluster.now)
+    assert len(balancer.offered) == 20
+    assert sum(isinstance(effect, SendReset) for effect in effects) == 10
+
+
 def test_combined_questions_keep_every_flow_and_every_other_effect() -> None:
     flows = [build_flow(number) for number in range(BATCH_FLOWS_LIMIT + 1)]
     answer = SendNotice(1, Located(flows[0], Holding.NO))
