Reset dead flows sooner after a loss of power, and ask each agent about one flow once

An agent whose last report says that it has no server is asked, but waited for in the first round only, and it reports this state at once, not with the next report.

The limits of openings at an agent move beside the other limits of openings.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -31,7 +31,11 @@
     LocatedBatch,
     Report,
 )
-from fescueseam.handshake.openings import DeliveredOpening
+from fescueseam.handshake.openings import (
+    OPENING_ANSWER_TIMEOUT_S,
+    OVERFLOW_REQUESTS_PER_SLOT,
+    DeliveredOpening,
+)
 from fescueseam.handshake.rules import Outage
 from fescueseam.handshake.segments import (
     FlowId,
@@ -42,13 +46,6 @@
     format_flow,
 )
 
-OPENING_ANSWER_TIMEOUT_S = 0.04
-"""Longest wait for the backend server's answer to an opening packet, in seconds. Then the packet
-goes back to its balancer."""
-OVERFLOW_REQUESTS_PER_SLOT = 6
-"""Number of busy flows per slot below which opening packets marked DELIVER_EVEN_IF_BUSY are
-admitted. Balancers set this mark if no backend server has a free slot. From this number on, a
-further request would wait too long to be of use."""
 IDLE_FLOW_TIMEOUT_S = 60.0
 """Idle time after which a flow is removed, in seconds. No caller keeps a flow idle for longer."""
 REASON_BUSY = "busy"
@@ -147,12 +144,15 @@
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
         """Reply whether the backend server holds a flow."""
-        return [SendNotice(origin, self._build_located(body.flow, body.service, now))]
+        holding = self._find_holding(body.flow, body.service, now)
+        return [SendNotice(origin, Located(body.flow, holding))]
 
     def handle_locate_batch(self, origin: int, body: LocateBatch, now: float) -> Effects:
         """Reply for each flow whether the backend server holds it."""
-        answers = tuple(self._build_located(flow, body.service, now) for flow in body.flows)
-        return [SendNotice(origin, LocatedBatch(answers))]
+        answers = (
+            Located(item, self._find_holding(item, body.service, now)) for item in body.flows
+        )
+        return [SendNotice(origin, LocatedBatch(tuple(answers)))]
 
     def handle_heartbeat(
         self, heartbeat: Heartbeat, now: float
@@ -184,8 +184,7 @@
         """Record that a backend server has deregistered, and report it."""
         if not self.backend.record_deregistration(name, now):
             return []
-        fields = {"backend": name, "is": Availability.LEFT.value}
-        return [LogEvent("backend-state", fields), *self.report_to_all(now)]
+        return self._report_departure(name, now)
 
     def handle_report(self, body: Report, now: float) -> Effects:
         """Apply the rules and the outage of a balancer's report if they are newer."""
@@ -258,6 +257,10 @@
             member.last_report_sent_at = now
         return self._report_to(members, now)
 
+    def _report_departure(self, backend: str, now: float) -> Effects:
+        fields = {"backend": backend, "is": Availability.LEFT.value}
+        return [LogEvent("backend-state", fields), *self.report_to_all(now)]
+
     def report_to_due_balancers(self, elapsed_s: float, now: float) -> Effects:
         """Report to the balancers whose report is due."""
         return self._report_to(self.fleet.select_due_members(elapsed_s, now), now)
@@ -285,6 +288,8 @@
                 partial(self.discard_opening, flow),
             )
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
+        if self.backend.notice_absence(now):
+            effects += self._report_departure("", now)
         return effects
 
     def discard_opening(self, flow: FlowId) -> None:
@@ -344,8 +349,8 @@
         if self.fleet.own.data_centre in self.outage.data_centres:
             return "data-centre-out"
         heartbeat = self.backend.last_heartbeat
-        state_known = self.rules_version > 0 and heartbeat is not None
         bound = self.cold_bounds.get(self.backend.service, 0.0)
+        state_known = self.rules_version > 0 and heartbeat is not None
         if not self.backend.cold_start.can_admit(
             bound if state_known else FALLBACK_OPENINGS_PER_S, now, state_known
         ):
@@ -357,9 +362,6 @@
         )
         return REASON_BUSY if busy >= limit else ""
 
-    def _build_located(self, flow: FlowId, service: str, now: float) -> Located:
-        return Located(flow, self._find_holding(flow, service, now))
-
     def _find_holding(self, flow: FlowId, service: str, now: float) -> Holding:
         entry = self.flows.find(flow)
         if service != self.backend.service:
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -70,6 +70,7 @@
     """Opening packets that timed out since the last packet or heartbeat of the backend server."""
     cold_start: ColdStartLimiter = field(factory=ColdStartLimiter)
     _previous_starts: list[tuple[str, int]] = field(factory=list)
+    _is_absence_noticed: bool = False
     _unconfirmed: Heartbeat | None = None
     """Newest heartbeat of a start that looks older than the current one."""
 
@@ -105,6 +106,13 @@
             and waited_s > FIRST_HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s
         )
 
+    def notice_absence(self, now: float) -> bool:
+        """Return True once, as soon as the first heartbeat is overdue."""
+        if self._is_absence_noticed or not self.is_first_heartbeat_overdue(now):
+            return False
+        self._is_absence_noticed = True
+        return True
+
     def record_deregistration(self, name: str, now: float) -> bool:
         """Record that a backend server has deregistered; return whether it is the current one."""
         if self.last_heartbeat is None or self.last_heartbeat.name != name:
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -83,6 +83,7 @@
             self.finder.buffer_segment(search, segment)
             return []
         if segment.opens:
+            self.finder.denials.discard(flow)
             # A deferred opening is retried by tick(); a retransmission of it needs no action.
             return [] if flow in self.deferred else self._handle_opening(segment, flow, now)
         self.offered.pop(flow, None)
@@ -358,9 +359,7 @@
 
     def _handle_not_found(self, search: HomeSearch, now: float) -> Effects:
         segment = search.segments[-1]
-        pending_agents = [
-            name for name in search.list_pending_agents() if name not in search.unreachable_agents
-        ]
+        pending_agents = search.list_missing_agents()
         if search.has_only_openings():
             service = self.configuration.choose_service(search.flow)
             if service is not None:
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -6,8 +6,9 @@
 from attrs import define, field
 
 from fescueseam.handshake.containment import contain
+from fescueseam.handshake.denials import DenialCache
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
-from fescueseam.handshake.member import Member
+from fescueseam.handshake.member import Availability, Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
 from fescueseam.handshake.questions import QuestionBudget, combine_questions
@@ -15,7 +16,6 @@
     BUFFERED_SEGMENTS_IN_ALL_LIMIT,
     HINT_TIMEOUT_S,
     LOCATE_RETRY_INTERVAL_S,
-    LOCATE_ROUNDS_LIMIT,
     SEARCHES_LIMIT,
     HomeSearch,
 )
@@ -45,6 +45,7 @@
     buffered_segments: int = 0
     """Number of packets that wait for the end of a search."""
     budget: QuestionBudget = field(factory=QuestionBudget)
+    denials: DenialCache = field(factory=DenialCache)
     _asked_in_tick: set[str] | None = None
     """Agents to which this tick sends a question anyway, so that more flows in it cost nothing;
     None outside ticks."""
@@ -69,6 +70,10 @@
         search = HomeSearch(flow, services, now, now + HINT_TIMEOUT_S, excluded_agent)
         self.searches[flow] = search
         self.buffer_segment(search, segment)
+        denying_agents = self.denials.find(flow, segment.sequence, now)
+        if denying_agents:
+            search.answers = dict.fromkeys(denying_agents, Holding.NO)
+            return self._ask_agents(search, now)
         neighbours = self.fleet.list_neighbours(now)
         if not neighbours or not self.budget.take(len(neighbours), now):
             return self._ask_agents(search, now)
@@ -164,7 +169,7 @@
             # No neighbouring balancer has offered the opening, so it is placed as a new one. If an
             # agent admitted an earlier copy, a second half-open flow elsewhere does no harm.
             return self._report_not_found(search, now)
-        unreachable = set()
+        unreachable, departed = set(), set()
         for member in self.fleet.list_agents(search.services):
             name = member.identity.name
             is_unreachable = self.fleet.is_unreachable(member, now)
@@ -176,7 +181,10 @@
             if is_unreachable:
                 # The backend server may be alive while only the agent's reports are lost.
                 unreachable.add(name)
+            elif member.load.availability is Availability.LEFT:
+                departed.add(name)
         search.unreachable_agents = frozenset(unreachable)
+        search.departed_agents = frozenset(departed)
         return self._ask_pending_agents(search, now) or self._advance(search, now)
 
     def _ask_pending_agents(self, search: HomeSearch, now: float) -> Effects:
@@ -204,8 +212,7 @@
     def _handle_timeout(self, search: HomeSearch, now: float) -> Effects:
         if search.pending_hints or search.is_checking_hint:
             return self._ask_agents(search, now)
-        has_rounds_left = search.rounds < LOCATE_ROUNDS_LIMIT and not search.probe_target
-        if search.waits_for_budget or has_rounds_left:
+        if search.waits_for_budget or (search.has_rounds_left() and not search.probe_target):
             return self._ask_pending_agents(search, now)
         search.next_round_at = now + LOCATE_RETRY_INTERVAL_S
         if search.probe_target:
@@ -218,9 +225,7 @@
         return self._report_not_found(search, now)
 
     def _advance(self, search: HomeSearch, now: float) -> Effects:
-        if search.has_pending_agents() and search.rounds < LOCATE_ROUNDS_LIMIT:
-            return []
-        if search.probe_target:
+        if search.probe_target or search.waits_for_budget or search.has_rounds_left():
             return []
         if search.find_probe_candidate() is not None:
             return self._probe_next(search)
@@ -240,6 +245,9 @@
 
     def _report_not_found(self, search: HomeSearch, now: float) -> Effects:
         self.discard(search.flow)
+        if not search.has_only_openings():
+            sequence = search.segments[-1].sequence
+            self.denials.record(search.flow, search.list_denying_agents(), sequence, now)
         for name in search.list_pending_agents():
             member = self.fleet.find(name)
             if member is not None and member.is_without_backend():
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -10,6 +10,13 @@
 OFFER_TIMEOUT_S = 0.06
 """Longest time to wait for an agent's answer to an offered opening, in seconds. Then the opening is
 offered to another agent."""
+OPENING_ANSWER_TIMEOUT_S = 0.04
+"""Longest wait for the backend server's answer to an opening packet, in seconds. Then the packet
+goes back to its balancer."""
+OVERFLOW_REQUESTS_PER_SLOT = 6
+"""Number of busy flows per slot below which opening packets marked DELIVER_EVEN_IF_BUSY are
+admitted. Balancers set this mark if no backend server has a free slot. From this number on, a
+further request would wait too long to be of use."""
 DELIVERED_RETENTION_S = 0.4
 """Time for which a delivered opening is kept, in seconds, as the backend server may return it."""
 OFFERS_LIMIT = 12
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -43,6 +43,9 @@
     unreachable_agents: frozenset[str] = frozenset()
     """Names of the agents that were asked although they seem unreachable: their reports may be lost
     while their backend servers are alive."""
+    departed_agents: frozenset[str] = frozenset()
+    """Names of the agents whose last report says that they have no backend server. Their answers
+    are waited for in the first round only."""
     rounds: int = 0
     """Number of rounds in which agents have been asked."""
     waits_for_budget: bool = False
@@ -70,6 +73,22 @@
         """Return whether an agent has not answered."""
         return None in self.answers.values()
 
+    def has_rounds_left(self) -> bool:
+        """Return whether agents that have not answered are asked again."""
+        return self.rounds < LOCATE_ROUNDS_LIMIT and any(
+            holding is None and name not in self.departed_agents
+            for name, holding in self.answers.items()
+        )
+
+    def list_denying_agents(self) -> frozenset[str]:
+        """Return the names of the agents that do not hold the flow."""
+        return frozenset(name for name, item in self.answers.items() if item is Holding.NO)
+
+    def list_missing_agents(self) -> list[str]:
+        """Return the names of the agents that may hold the flow and have not answered."""
+        optional = self.unreachable_agents | self.departed_agents
+        return [name for name in self.list_pending_agents() if name not in optional]
+
     def find_probe_candidate(self) -> str | None:
         """Return the name of an agent that may hold the flow and has not been probed, if any."""
         for name, holding in self.answers.items():
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_bounds.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_bounds.py
@@ -4,9 +4,9 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake import finder, notice_guard
-from fescueseam.handshake.agent import OVERFLOW_REQUESTS_PER_SLOT
 from fescueseam.handshake.flows import FLOWS_LIMIT, FlowTable
 from fescueseam.handshake.notice_guard import TRACKED_INCARNATIONS, NoticeGuard
+from fescueseam.handshake.openings import OVERFLOW_REQUESTS_PER_SLOT
 from fescueseam.handshake.searches import BUFFERED_SEGMENTS_LIMIT
 from fescueseam.handshake.tests.conftest import (
     Cluster,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
@@ -5,10 +5,9 @@
 
 import math
 
-from fescueseam.handshake.agent import OPENING_ANSWER_TIMEOUT_S
 from fescueseam.handshake.balancer import STARTUP_GRACE_S
 from fescueseam.handshake.member import Availability, Identity, Role
-from fescueseam.handshake.openings import OFFER_TIMEOUT_S
+from fescueseam.handshake.openings import OFFER_TIMEOUT_S, OPENING_ANSWER_TIMEOUT_S
 from fescueseam.handshake.rules import Outage, Route, RouteShare, Rules
 from fescueseam.handshake.tests.conftest import (
     ALERTS,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
@@ -8,8 +8,11 @@
 
 from fescueseam.handshake import balancer as balancer_module
 from fescueseam.handshake import finder
+from fescueseam.handshake.backend import FIRST_HEARTBEAT_TIMEOUT_INTERVALS
 from fescueseam.handshake.balancer import STARTUP_GRACE_S
+from fescueseam.handshake.denials import SAME_FLOW_SEQUENCES
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
+from fescueseam.handshake.member import Availability
 from fescueseam.handshake.notices import Holding, Locate, LocateBatch, Located
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S, OFFERS_LIMIT
 from fescueseam.handshake.questions import (
@@ -22,9 +25,11 @@
 from fescueseam.handshake.searches import LOCATE_RETRY_INTERVAL_S
 from fescueseam.handshake.tests.conftest import (
     ALERTS,
+    HEARTBEAT_INTERVAL_S,
     INTAKE,
     TICK_INTERVAL_S,
     Cluster,
+    FakeBackend,
     build_flow,
     build_opening,
     build_segment,
@@ -203,3 +208,57 @@
 
 def is_drop(event: LogEvent) -> bool:
     return event.event == "opening-dropped"
+
+
+def test_next_packet_of_a_flow_asks_only_the_agents_that_have_not_denied_it(
+    large_cluster: Cluster,
+) -> None:
+    silent = AGENTS[:3]
+    large_cluster.disconnected |= set(silent)
+    flow = build_flow(0)
+    large_cluster.request(flow, 1)
+    large_cluster.run(0.6)
+    assert large_cluster.nodes[1].searches == {}
+    large_cluster.locate_requests.clear()
+    large_cluster.request(flow, 1)
+    large_cluster.run(0.6)
+    assert {asked for sender, asked in large_cluster.locate_requests if sender == 1} == set(silent)
+    assert large_cluster.resets == []
+
+
+def test_denials_end_with_a_new_flow_under_the_same_addresses(large_cluster: Cluster) -> None:
+    flow = build_flow(0)
+    large_cluster.request(flow, 1)
+    large_cluster.run(0.6)
+    assert large_cluster.resets == [flow]
+    # The new flow is opened through another balancer, and then moves to the first one.
+    large_cluster.open(flow, 2)
+    home = large_cluster.find_home(flow)
+    assert home is not None
+    large_cluster.request(flow, 1, sequence=1000 + 2 * SAME_FLOW_SEQUENCES)
+    large_cluster.run(0.2)
+    assert large_cluster.resets == [flow]
+    assert large_cluster.backends[home].served == 1
+
+
+def test_agent_without_a_server_that_has_vanished_keeps_no_flow_from_being_reset(
+    large_cluster: Cluster,
+) -> None:
+    address = 200
+    agent = large_cluster.add_agent(address, FakeBackend("none", alive=False))
+    large_cluster.run(FIRST_HEARTBEAT_TIMEOUT_INTERVALS * HEARTBEAT_INTERVAL_S + 0.1)
+    assert agent.describe_load(large_cluster.now).availability is Availability.LEFT
+    large_cluster.disconnected.add(address)
+    large_cluster.request(build_flow(0), 1)
+    large_cluster.run(0.2)
+    assert large_cluster.resets == [build_flow(0)]
+
+
+def test_agent_reports_at_once_that_its_first_heartbeat_is_overdue(large_cluster: Cluster) -> None:
+    agent = large_cluster.add_agent(200, FakeBackend("none", alive=False))
+    large_cluster.run(FIRST_HEARTBEAT_TIMEOUT_INTERVALS * HEARTBEAT_INTERVAL_S)
+    sent = [
+        sum(isinstance(item, SendNotice) for item in agent.tick(large_cluster.now + delay_s))
+        for delay_s in (0.0, 0.01, 0.02)
+    ]
+    assert sent == [0, 3, 0]
