--- a/packages/fescueseam/src/fescueseam/handshake/segments.py
+++ b/packages/fescueseam/src/fescueseam/handshake/segments.py
@@ -104,6 +104,7 @@
         """Return a reset in answer to a caller's packet."""
 
 
+@functools.lru_cache(maxsize=4096)
 def format_address(address: int) -> str:
     """Return an IPv4 address in dotted decimal notation."""
     return ".".join(str(address >> shift & 0xFF) for shift in (24, 16, 8, 0))
