--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_bounds.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_bounds.py
@@ -4,6 +4,7 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake import finder, notice_guard
+from fescueseam.handshake.denials import DENIALS_LIMIT, DENIALS_RETENTION_S, DenialCache
 from fescueseam.handshake.flows import FLOWS_LIMIT, FlowTable
 from fescueseam.handshake.notice_guard import TRACKED_INCARNATIONS, NoticeGuard
 from fescueseam.handshake.openings import OVERFLOW_REQUESTS_PER_SLOT
@@ -38,6 +39,15 @@
     assert balancer.finder.buffered_segments == BUFFERED_SEGMENTS_LIMIT
 
 
+def test_denials_of_the_oldest_flows_are_dropped() -> None:
+    denials, agents = DenialCache(), frozenset({"agent-1"})
+    for number in range(DENIALS_LIMIT + 1):
+        denials.record(build_flow(number), agents, 1000, 1.0)
+    assert denials.find(build_flow(0), 1000, 1.0) == frozenset()
+    assert denials.find(build_flow(1), 1000, 1.0) == agents
+    assert denials.find(build_flow(2), 1000, 1.0 + DENIALS_RETENTION_S) == frozenset()
+
+
 def test_flow_table_drops_the_least_recently_used_flow() -> None:
     table = FlowTable()
     for number in range(FLOWS_LIMIT + 1):
