--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
@@ -7,7 +7,7 @@
 import typer
 
 from ..world.deployments import DEPLOYMENTS
-from . import jobs
+from . import jobs, one_slot
 from .jobs import Job, MeasurementSize
 from .results import Result, render_result
 from .variants import CONNECTION_TABLE, CONSISTENT_HASHING, DEPLOYMENT_NAMES, FESCUESEAM, VARIANTS
@@ -26,6 +26,7 @@
         for variant in (FESCUESEAM, CONSISTENT_HASHING, CONNECTION_TABLE):
             for kind in (jobs.BROKEN_FLOWS, jobs.AT_MOST_ONCE, jobs.DATA_CENTRE_OUT):
                 job_list.append(Job(kind, variant, deployment, seed, size))
+    job_list += [Job(jobs.ONE_SLOT, way, jobs.ONE_SLOT, seed, size) for way in one_slot.WAYS]
     return job_list
 
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
@@ -10,6 +10,7 @@
 from .data_centre_out import measure_data_centre_out
 from .forwarding import LARGE_PAYLOAD_BYTES, SMALL_PAYLOAD_BYTES, measure_forwarding
 from .ideal_pool import PoolResult, choose_fastest, choose_least_used
+from .one_slot import measure_one_slot
 from .results import Measure, Result, make_result
 from .variants import FESCUESEAM
 
@@ -29,11 +30,12 @@
     frequent_stream_count: int
     """Number of streams whose frequent packets time the last delivery into a data centre."""
     forwarding_rounds: int
+    one_slot_time_s: float
 
 
-QUICK = MeasurementSize(20.0, 60, 60, 10, 3)
-NORMAL = MeasurementSize(300.0, 3000, 10_000, 150, 60)
-FULL = MeasurementSize(900.0, 50_000, 50_000, 150, 200)
+QUICK = MeasurementSize(20.0, 60, 60, 10, 3, 1.0)
+NORMAL = MeasurementSize(300.0, 3000, 10_000, 150, 60, 10.0)
+FULL = MeasurementSize(900.0, 50_000, 50_000, 150, 200, 60.0)
 """Reaches the targets' 100,000 flows over both deployments; takes tens of minutes."""
 
 
@@ -181,12 +183,27 @@
     ]
 
 
+def run_one_slot(job: Job) -> list[Result]:
+    """Measure one way to place short requests on many servers with one slot."""
+    outcome = measure_one_slot(job.variant, job.seed, job.size.one_slot_time_s)
+    return [
+        make_result(measure, job.variant, job.deployment, job.seed, value, unit)
+        for measure, value, unit in (
+            (Measure.QUEUED_SHARE, outcome.queued_share, "share"),
+            (Measure.PLACEMENT_TIME_P99, outcome.placement_p99_s, "s"),
+            (Measure.WAIT_P99, outcome.wait_p99_s, "s"),
+            (Measure.MESSAGES_PER_FLOW, outcome.messages_per_flow, "messages"),
+        )
+    ]
+
+
 FORWARDING = "forwarding"
 BALANCE = "balance"
 BROKEN_FLOWS = "changes"
 DATA_CENTRE_OUT = "departure"
 AT_MOST_ONCE = "once"
 IDEAL_POOLS = "ideals"
+ONE_SLOT = "one-slot"
 
 _RUN_FUNCTIONS: dict[str, Callable[[Job], list[Result]]] = {
     FORWARDING: run_forwarding,
@@ -195,4 +212,5 @@
     BROKEN_FLOWS: run_broken_flows,
     DATA_CENTRE_OUT: run_data_centre_out,
     AT_MOST_ONCE: run_at_most_once,
+    ONE_SLOT: run_one_slot,
 }
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/results.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/results.py
@@ -22,6 +22,10 @@
     FALSE_NOT_RUN = "false-not-run"
     BALANCER_TIME_OVER_RELAY = "balancer-time-over-relay"
     PACKETS_PER_SECOND = "balancer-packets"
+    QUEUED_SHARE = "queued-behind-another-request"
+    PLACEMENT_TIME_P99 = "time-to-placement-p99"
+    WAIT_P99 = "time-to-work-p99"
+    MESSAGES_PER_FLOW = "messages-per-flow"
 
 
 TARGETS: dict[Measure, float] = {
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_measure.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_measure.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fescueseam_standins.measure import jobs
+from fescueseam_standins.measure import jobs, one_slot
 from fescueseam_standins.measure.__main__ import list_jobs
 from fescueseam_standins.measure.ideal_pool import choose_least_used, run_pool
 from fescueseam_standins.measure.results import Measure, make_result, render_result
@@ -45,6 +45,23 @@
     assert broken[CONSISTENT_HASHING] > 0
 
 
+def test_one_slot_way_in_force_queues_fewer_requests_than_probing():
+    queued = {
+        way: jobs.run_job(jobs.Job(jobs.ONE_SLOT, way, jobs.ONE_SLOT, SEED, jobs.QUICK))[0].value
+        for way in one_slot.WAYS
+    }
+    assert queued[one_slot.EXPECTED_DELAY] < min(queued["two-probes"], queued["three-probes"])
+    assert all(0 <= share < 1 for share in queued.values())
+
+
+@pytest.mark.parametrize("way", one_slot.WAYS)
+def test_one_slot_model_serves_every_request_at_low_load(way):
+    outcome = one_slot.measure_one_slot(way, SEED, 1.0, load_share=0.2)
+    assert outcome.rejected_share == 0
+    assert outcome.messages_per_flow >= 1
+    assert 0 < outcome.placement_p99_s <= outcome.wait_p99_s
+
+
 def test_every_listed_job_has_a_run_function():
     assert {job.kind for job in list_jobs(SEED, jobs.QUICK)} <= set(jobs._RUN_FUNCTIONS)
 
