Stop the timer of a balancer once its openings are delivered

Cause: the timer ran 50 times a second for as long as an opening had been delivered within 0.4 s, which on a busy balancer is always, although only openings without an answer have a timeout.

Change: delivered openings are kept apart from unanswered ones and expire with the homes.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -336,6 +336,7 @@
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             now = trio.current_time()
             self.core.homes.expire(now, HOME_RETENTION_S)
+            self.core.offered.expire(now)
             self.node.log_reachability_changes(now)
 
     async def _send_due_reports(self) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -21,11 +21,11 @@
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_TIMEOUT_S,
-    DELIVERED_RETENTION_S,
     OFFER_TIMEOUT_S,
     OFFERED_LIMIT,
     REJECTED_BACKOFF_S,
     DeferredOpenings,
+    OfferedOpenings,
     PendingOpening,
 )
 from fescueseam.handshake.rules import ActiveConfiguration
@@ -57,8 +57,7 @@
     """Whether the member list has been read. Until then an unknown agent may hold a flow, so that
     flows without a known home are not reset."""
     homes: HomeTable = field(factory=HomeTable)
-    offered: dict[FlowId, PendingOpening] = field(factory=dict)
-    """Openings that were offered to an agent and may still be returned."""
+    offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     finder: HomeFinder = field(init=False)
@@ -72,8 +71,8 @@
         return self.finder.searches
 
     def has_pending_work(self) -> bool:
-        """Return whether an offer, a search or a deferred opening is pending."""
-        return bool(self.offered or self.searches or self.deferred)
+        """Return whether an unanswered offer, a search or a deferred opening is pending."""
+        return bool(self.offered.unanswered or self.searches or self.deferred)
 
     def handle_packet(self, segment: Segment, now: float) -> Effects:
         """Handle a packet from a caller."""
@@ -86,7 +85,7 @@
             self.finder.denials.discard(flow)
             # A deferred opening is retried by tick(); a retransmission of it needs no action.
             return [] if flow in self.deferred else self._handle_opening(segment, flow, now)
-        self.offered.pop(flow, None)
+        self.offered.discard(flow)
         home = self.homes.get(flow)
         if home is None and segment.resets:
             # The caller has closed the flow, and backend servers do not answer a reset.
@@ -122,10 +121,10 @@
     def handle_located(self, sender_name: str, body: Located, now: float) -> Effects:
         """Handle the answer to a Locate, or the notice that an opening was delivered."""
         flow = body.flow
-        opening = self.offered.get(flow)
+        opening = self.offered.find(flow)
         if opening is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
-            if opening.agent == sender_name and not opening.delivered:
-                opening.delivered = True
+            if opening.agent == sender_name and flow in self.offered.unanswered:
+                self.offered.record_delivery(flow, now)
                 if not opening.even_if_busy:
                     self._record_free_slot_search(opening, True)
             return []
@@ -146,11 +145,9 @@
         """
         effects: Effects = []
         heard_until = now if heard_until is None else heard_until
-        for flow, opening in list(self.offered.items()):
-            if opening.delivered:
-                if now - opening.sent_at >= DELIVERED_RETENTION_S:
-                    del self.offered[flow]
-            elif heard_until - opening.sent_at >= OFFER_TIMEOUT_S:
+        self.offered.expire(now)
+        for flow, opening in list(self.offered.unanswered.items()):
+            if heard_until - opening.sent_at >= OFFER_TIMEOUT_S:
                 effects += contain(
                     "offer-timeout",
                     partial(self._handle_offer_timeout, flow, opening, now),
@@ -167,7 +164,7 @@
 
     def discard_flow(self, flow: FlowId) -> None:
         """Drop everything that is remembered of a flow; its next packet finds the home again."""
-        self.offered.pop(flow, None)
+        self.offered.discard(flow)
         self.deferred.pop(flow, None)
         self.homes.pop(flow, None)
         self.finder.discard(flow)
@@ -190,8 +187,8 @@
             return self._refuse(segment, flow, "too-many", now, service)
         if segment.attempt == 0:
             return self._start_placement(segment, flow, service, set(), now)
-        opening, home = self.offered.get(flow), self.homes.get(flow)
-        if opening is not None and not opening.delivered:
+        home = self.homes.get(flow)
+        if flow in self.offered.unanswered:
             # The earlier copy is still being offered to agents.
             return []
         member = None if home is None else self.fleet.find(home.agent)
@@ -263,9 +260,8 @@
         opening.tried_agents.add(opening.agent)
         opening.offers_left -= 1
         opening.sent_at = now
-        opening.delivered = False
         member.flows_sent_since_report += 1
-        self.offered[flow] = opening
+        self.offered.add(flow, opening)
         self.homes.remember(flow, opening.agent, opening.service, now)
         purpose = Purpose.DELIVER_EVEN_IF_BUSY if opening.even_if_busy else Purpose.DELIVER
         forward = self._forward(opening.segment, member, opening.service, purpose)
@@ -296,10 +292,10 @@
     def _offer_elsewhere(
         self, flow: FlowId, agent_name: str, rejected: bool, now: float
     ) -> Effects:
-        opening = self.offered.get(flow)
+        opening = self.offered.find(flow)
         if opening is None or opening.agent != agent_name:
             return []
-        del self.offered[flow]
+        self.offered.discard(flow)
         member = self.fleet.find(agent_name)
         rejected = rejected or opening.even_if_busy
         if member is not None:
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -1,6 +1,7 @@
 """Opening packets that wait for an agent or for the end of the handshake, and their timeouts."""
 
 import heapq
+from collections import OrderedDict
 
 from attrs import define, field
 
@@ -79,8 +80,6 @@
     """Whether an agent has left an offer unanswered, so that an answer may only have been lost."""
     deferred_at: float | None = None
     """Time at which it was first deferred; None before that."""
-    delivered: bool = False
-    """Whether the agent has delivered the opening to its backend server."""
 
     def reset_for_retry(self) -> None:
         """Forget earlier attempts, before a deferred opening is placed again."""
@@ -91,6 +90,52 @@
         self.offers_left = DEFERRED_OFFERS_LIMIT
 
 
+@define(eq=False)
+class OfferedOpenings:
+    """Openings that were offered to an agent and may still be returned by it."""
+
+    unanswered: dict[FlowId, PendingOpening] = field(factory=dict)
+    """Openings without an answer of the agent, which are offered elsewhere after a timeout."""
+    delivered: OrderedDict[FlowId, PendingOpening] = field(factory=OrderedDict)
+    """Openings that were delivered to a backend server, in the order of delivery."""
+
+    def __len__(self) -> int:
+        """Return the number of openings."""
+        return len(self.unanswered) + len(self.delivered)
+
+    def __contains__(self, flow: object) -> bool:
+        """Return whether the opening of a flow is known."""
+        return flow in self.unanswered or flow in self.delivered
+
+    def find(self, flow: FlowId) -> PendingOpening | None:
+        """Return the opening of a flow, or None if there is none."""
+        return self.unanswered.get(flow) or self.delivered.get(flow)
+
+    def add(self, flow: FlowId, opening: PendingOpening) -> None:
+        """Add an opening that was just offered; it has no answer yet."""
+        self.delivered.pop(flow, None)
+        self.unanswered[flow] = opening
+
+    def record_delivery(self, flow: FlowId, now: float) -> PendingOpening:
+        """Record that an unanswered opening was delivered, and return it."""
+        self.expire(now)
+        opening = self.delivered[flow] = self.unanswered.pop(flow)
+        return opening
+
+    def discard(self, flow: FlowId) -> None:
+        """Forget the opening of a flow, if any."""
+        self.unanswered.pop(flow, None)
+        self.delivered.pop(flow, None)
+
+    def expire(self, now: float) -> None:
+        """Forget delivered openings after their retention time."""
+        while self.delivered:
+            flow, opening = next(iter(self.delivered.items()))
+            if now - opening.sent_at < DELIVERED_RETENTION_S:
+                break
+            del self.delivered[flow]
+
+
 class DeferredOpenings(dict[FlowId, PendingOpening]):
     """Openings that wait for an agent to become ready."""
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
@@ -95,7 +95,9 @@
     sent += count_messages(balancer.handle_packet(build_segment(build_flow(1)), start))
     later = start + 4 * LOCATE_RETRY_INTERVAL_S
     assert count_messages(balancer.tick(later, start)) == 0
-    assert not balancer.fleet.members[balancer.offered[build_flow(0)].agent].unanswered_at
+    assert not balancer.fleet.members[
+        balancer.offered.unanswered[build_flow(0)].agent
+    ].unanswered_at
     assert count_messages(balancer.tick(later, later)) > 0
     assert sent > 0
 
