Read single datagrams with one system call

Cause: each wait for a datagram was followed by two reads, the second of which found nothing nearly always.

Change: after a batch of no more than one datagram, the next three waits read one each. The test of single datagrams fails before the change; the one of bursts shows that batches stay.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
@@ -8,6 +8,9 @@
 from fescueseam_daemon.sockets import BATCH_DATAGRAMS, open_udp
 
 MAX_DATAGRAM_BYTES = 65_535
+SINGLE_READS = 3
+"""Number of waits after which one datagram is read, once a batch held no more than one. A second
+read would nearly always find nothing then, and costs as much as the first."""
 
 
 class UdpSocket:
@@ -56,15 +59,29 @@
     async def receive(self, handle: Callable[[bytes, str], None]) -> None:
         """Call `handle` with each datagram and its sender's address, until cancelled."""
         assert self._sock is not None, "start() has not been called"
+        single_reads_left = 0
         while True:
             await trio.lowlevel.wait_readable(self._sock)
-            for _ in range(BATCH_DATAGRAMS):
-                try:
-                    data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                except BlockingIOError:
-                    break
-                except OSError:
-                    # The kernel reports that an earlier datagram was sent to a closed port.
-                    self.unsent_datagrams += 1
-                    continue
-                handle(data, sender[0])
+            if single_reads_left:
+                single_reads_left -= 1
+                self._read(handle)
+                continue
+            received = 0
+            while received < BATCH_DATAGRAMS and self._read(handle):
+                received += 1
+            if received <= 1:
+                single_reads_left = SINGLE_READS
+
+    def _read(self, handle: Callable[[bytes, str], None]) -> bool:
+        """Handle one datagram; return whether there was one, or an error in its place."""
+        assert self._sock is not None, "start() has not been called"
+        try:
+            data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The kernel reports that an earlier datagram was sent to a closed port.
+            self.unsent_datagrams += 1
+            return True
+        handle(data, sender[0])
+        return True
