--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import trio
 from attrs import evolve
@@ -13,13 +14,15 @@
 from fescueseam.handshake.member import Identity, Role
 from fescueseam.handshake.notice_guard import RANDOM_INCARNATION_BITS, build_incarnation
 from fescueseam.handshake.segments import parse_address
-from fescueseam_daemon.handshake.agent import AgentProcess
-from fescueseam_daemon.handshake.balancer import BalancerProcess
 from fescueseam_daemon.handshake.events import EventLog, configure_log
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import Platform
 from fescueseam_daemon.handshake.settings import HandshakeSettings, load_settings
 
+if TYPE_CHECKING:
+    from fescueseam_daemon.handshake.agent import AgentProcess
+    from fescueseam_daemon.handshake.balancer import BalancerProcess
+
 RELOADABLE_SETTINGS = ("seeds", "log_lines_per_s", "remote_penalty_s", "keys")
 """Settings that SIGHUP changes in a running process."""
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -53,8 +56,7 @@
         build_incarnation(round(time.time() * 1000), rng.getrandbits(RANDOM_INCARNATION_BITS)),
     )
     node = Node(settings, platform, events, rng, own, started_ms)
-    process: AgentProcess | BalancerProcess
-    process = AgentProcess(node) if settings.role is Role.AGENT else BalancerProcess(node)
+    process = _build_process(node)
     fields = {"role": settings.role.value, "incarnation": own.incarnation}
     node.log_event("started", {**fields, "address": settings.address, "service": settings.service})
     with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
@@ -75,6 +77,17 @@
             node.log_event("stopped", {**fields, "messages": node.describe_messages()})
 
 
+def _build_process(node: Node) -> "AgentProcess | BalancerProcess":
+    # Only the decisions of the own role are imported, to keep the start short.
+    if node.settings.role is Role.AGENT:
+        from fescueseam_daemon.handshake.agent import AgentProcess
+
+        return AgentProcess(node)
+    from fescueseam_daemon.handshake.balancer import BalancerProcess
+
+    return BalancerProcess(node)
+
+
 def reload_settings(path: Path, node: Node) -> None:
     """Reload the settings that may change at run time; keep the old ones if the file has faults.
 
