Do not probe agents that await their first heartbeat after a loss of power

An agent that has started and not heard its server yet answered 'unsure' to each question, and the balancer probed these agents one after the other, with every packet of every dead flow. Their first heartbeats came 0.1 s to 0.6 s after their start and told that no older flow exists.

Ruled out: that the servers are older than the agents (all 65 were heard to have started after them).

Change: an agent without a heartbeat, of whose server the balancer knows nothing from before, is asked again in the next rounds, and probed after the last. One that restarts beside a known server is probed at once, as before.

--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -100,8 +100,8 @@
                 return []
             self.discard(search.flow)
             return self.on_found(search, member, body.holding, now)
-        if search.answers[sender_name] is None:
-            search.answers[sender_name] = body.holding
+        is_undecided = body.holding is Holding.UNSURE and self._is_starting(sender_name)
+        search.record_answer(sender_name, body.holding, is_undecided)
         if search.is_checking_hint:
             return self._ask_agents(search, now)
         return [] if search.has_pending_agents() else self._advance(search, now)
@@ -162,6 +162,19 @@
         search.answers[member.identity.name] = None
         return self._send_locate(search, [member.identity.name])
 
+    def _is_starting(self, agent_name: str) -> bool:
+        """Return whether an agent will soon know which flows its backend server holds.
+
+        It has started without a server that is known from before, as after a loss of power. The
+        first heartbeat tells it more cheaply than a probe for each flow does.
+        """
+        member = self.fleet.find(agent_name)
+        return (
+            member is not None
+            and member.load.availability is Availability.UNKNOWN
+            and not member.had_backend
+        )
+
     def _ask_agents(self, search: HomeSearch, now: float) -> Effects:
         search.pending_hints.clear()
         search.is_checking_hint = False
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -73,6 +73,8 @@
     """Time of the last message from the member."""
     load: Load = field(factory=Load)
     sequence: int = 0
+    had_backend: bool = False
+    """Whether a report, also of an earlier start, has said that it knows a backend server."""
     flows_sent_since_report: int = 0
     """Number of flows offered to the member since its last report."""
     unanswered_at: float | None = None
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -92,6 +92,7 @@
             # The agent has restarted and does not know yet that its server drains or has left.
             load = evolve(load, availability=known.load.availability)
         known.load = load
+        known.had_backend = known.had_backend or not known.is_without_backend()
         known.sequence = sequence
         known.last_heard_at = now
         known.flows_sent_since_report = 0
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -80,6 +80,13 @@
             for name, holding in self.answers.items()
         )
 
+    def record_answer(self, agent_name: str, holding: Holding, is_undecided: bool) -> None:
+        """Record an agent's first answer; ask one that is undecided again while rounds are left."""
+        if self.answers[agent_name] is None and not (
+            is_undecided and self.rounds < LOCATE_ROUNDS_LIMIT
+        ):
+            self.answers[agent_name] = holding
+
     def list_denying_agents(self) -> frozenset[str]:
         """Return the names of the agents that do not hold the flow."""
         return frozenset(name for name, item in self.answers.items() if item is Holding.NO)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -259,3 +259,42 @@
     cluster.request(build_flow(0), 1)
     cluster.run(0.1)
     assert cluster.resets == [build_flow(0)]
+
+
+def test_agents_that_await_their_first_heartbeat_are_not_probed_after_a_loss_of_power() -> None:
+    cluster = Cluster()
+    cluster.add_balancer(1)
+    agents = range(11, 31)
+    for address in agents:
+        backend = FakeBackend(f"restarted-{address}", alive=False)
+        cluster.add_agent(address, backend=backend, process_started_ms=1)
+    cluster.run(0.3)
+    flows = [build_flow(number) for number in range(10)]
+    for flow in flows:
+        cluster.request(flow, 1)
+    cluster.run(0.1)
+    for address in agents:
+        cluster.backends[address].alive = True
+        cluster.start_heartbeats(address, 5)
+    cluster.run(0.2)
+    assert cluster.count_events("flow-probed") == 0
+    assert sorted(cluster.resets) == flows
+
+
+def test_agent_that_restarts_alone_is_probed_before_its_first_heartbeat(cluster: Cluster) -> None:
+    flow = build_flow(0)
+    cluster.open(flow, 1)
+    home = cluster.find_home(flow)
+    assert home is not None
+    agent = cluster.add_agent(home)
+    agent.backend.last_heartbeat = None
+    agent.backend.availability = Availability.UNKNOWN
+    agent.backend.knows_all_flows = False
+    for balancer in (1, 2):
+        cluster.nodes[balancer].homes.clear()
+    cluster.execute(home, agent.report_to_all(cluster.now))
+    cluster.run(0.01)
+    answers = cluster.answers[flow]
+    cluster.request(flow, 1)
+    cluster.run(0.07)
+    assert cluster.answers[flow] > answers
