Ask neighbouring balancers for homes seldom while they know none

Cause: each search asked every balancer of the data centre first, also after a loss of power, when none of them knows a home.

--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -8,6 +8,7 @@
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.denials import DenialCache
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice
+from fescueseam.handshake.hints import HintStatistics
 from fescueseam.handshake.member import Availability, Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding, Locate, Located
@@ -46,6 +47,7 @@
     """Number of packets that wait for the end of a search."""
     budget: QuestionBudget = field(factory=QuestionBudget)
     denials: DenialCache = field(factory=DenialCache)
+    hints: HintStatistics = field(factory=HintStatistics)
     _asked_in_tick: set[str] | None = None
     """Agents to which this tick sends a question anyway, so that more flows in it cost nothing;
     None outside ticks."""
@@ -74,7 +76,7 @@
         if denying_agents:
             search.answers = dict.fromkeys(denying_agents, Holding.NO)
             return self._ask_agents(search, now)
-        neighbours = self.fleet.list_neighbours(now)
+        neighbours = self.fleet.list_neighbours(now) if self.hints.should_ask() else []
         if not neighbours or not self.budget.take(len(neighbours), now):
             return self._ask_agents(search, now)
         search.pending_hints = {member.identity.name for member in neighbours}
@@ -150,7 +152,8 @@
         search.pending_hints.discard(balancer_name)
         member = self.fleet.find(body.agent) if body.agent != search.excluded_agent else None
         if member is None or self.fleet.is_unreachable(member, now):
-            return [] if search.pending_hints else self._ask_agents(search, now)
+            return [] if search.pending_hints else self._ask_agents_without_hint(search, now)
+        self.hints.record(True)
         if search.has_only_openings():
             self.discard(search.flow)
             return self.on_found(search, member, body.holding, now)
@@ -162,6 +165,10 @@
         search.answers[member.identity.name] = None
         return self._send_locate(search, [member.identity.name])
 
+    def _ask_agents_without_hint(self, search: HomeSearch, now: float) -> Effects:
+        self.hints.record(False)
+        return self._ask_agents(search, now)
+
     def _is_starting(self, agent_name: str) -> bool:
         """Return whether an agent will soon know which flows its backend server holds.
 
@@ -223,7 +230,9 @@
         return effects
 
     def _handle_timeout(self, search: HomeSearch, now: float) -> Effects:
-        if search.pending_hints or search.is_checking_hint:
+        if search.pending_hints:
+            return self._ask_agents_without_hint(search, now)
+        if search.is_checking_hint:
             return self._ask_agents(search, now)
         if search.waits_for_budget or (search.has_rounds_left() and not search.probe_target):
             return self._ask_pending_agents(search, now)
