Hand the homes of open flows over to the neighbours before a planned stop

A balancer starts without homes, and its neighbours know only the flows that they were sent packets of in the meantime. The answers and questions together were more messages than all reports.

Change: a stopping balancer spreads the homes of its open flows over its neighbours, at most 2,048, one notice of 64 flows every 0.05 s while it goes on forwarding. They are hints: the agent is asked before a packet is forwarded to it.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -10,12 +10,11 @@
 from fescueseam.handshake.balancer import STARTUP_GRACE_S, Balancer
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.member import Identity, Load, Member, Role
-from fescueseam.handshake.notices import Locate, Located, LocatedBatch, Report
+from fescueseam.handshake.notices import HomeHandover, Locate, Located, LocatedBatch, Report
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
 from fescueseam_daemon.handshake.node import HTTP_PORT_OFFSET, MAINTENANCE_INTERVAL_S, Node
-from fescueseam_daemon.handshake.platform_interface import OutageChanges
 from fescueseam_daemon.handshake.rules_codec import decode_rules, encode_rules
 from fescueseam_daemon.handshake.settings import SocketAddress
 from fescueseam_daemon.handshake.ticker import Ticker
@@ -40,6 +39,9 @@
 PEER_FETCH_DELAY_S = 0.15
 """Delay before a newer configuration is fetched from another balancer, in seconds. It gives the
 store time to deliver it."""
+HANDOVER_INTERVAL_S = 0.05
+"""Interval between the notices with which a stopping balancer hands over the homes of flows, in
+seconds. A narrow link drops the end of a burst."""
 SHUTDOWN_FORWARDING_S = 1.6
 """Time for which a stopping balancer goes on forwarding, in seconds. The fabric probes readiness
 twice a second and stops sending flows after two failed probes."""
@@ -113,7 +115,11 @@
         """Report not ready, and go on forwarding until the fabric sends no more flows here."""
         self.leaving = True
         self._send_report()
-        await trio.sleep(SHUTDOWN_FORWARDING_S)
+        forwards_until = trio.current_time() + SHUTDOWN_FORWARDING_S
+        for effect in self.core.hand_over_homes(trio.current_time()):
+            self.node.execute([effect])
+            await trio.sleep(HANDOVER_INTERVAL_S)
+        await trio.sleep_until(max(forwards_until, trio.current_time()))
 
     def is_ready(self) -> bool:
         """Return whether the fabric may send flows here."""
@@ -171,6 +177,8 @@
             if member is not None:
                 address = member.identity.address
                 self.ticker.execute(self.core.handle_locate(address, notice.body, now))
+        elif isinstance(notice.body, HomeHandover):
+            self.core.handle_handover(notice.body, now)
         elif isinstance(notice.body, Report):
             self._receive_report(notice.body, notice.sequence, now)
 
@@ -251,7 +259,7 @@
                 else:
                     await self._wait_until_watcher()
                     changes = await node.store.watch_outage(outage.revision, STORE_WATCH_TIMEOUT_S)
-                    outage = _apply_changes(outage, changes)
+                    outage = changes.apply_to(outage)
             except StoreError as exc:
                 outage = None
                 await node.handle_store_failure(exc)
@@ -335,8 +343,7 @@
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             now = trio.current_time()
-            self.core.homes.expire(now, HOME_RETENTION_S)
-            self.core.offered.expire(now)
+            self.core.expire(now, HOME_RETENTION_S)
             self.node.log_reachability_changes(now)
 
     async def _send_due_reports(self) -> None:
@@ -391,8 +398,3 @@
             requests_report,
             requests_members,
         )
-
-
-def _apply_changes(outage: Outage, changes: OutageChanges) -> Outage:
-    remaining = (outage.data_centres | set(changes.added)) - set(changes.removed)
-    return Outage(max(outage.revision, changes.revision), frozenset(remaining))
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
@@ -33,6 +33,11 @@
     added: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
 
+    def apply_to(self, outage: Outage) -> Outage:
+        """Return an outage after these changes."""
+        remaining = (outage.data_centres | set(self.added)) - set(self.removed)
+        return Outage(max(outage.revision, self.revision), frozenset(remaining))
+
 
 class ControlStore(Protocol):
     """Client of the store; its methods raise StoreError on failure."""
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -14,10 +14,11 @@
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
 from fescueseam.handshake.free_slots import FreeSlotSearches
+from fescueseam.handshake.handover import HandedOverHomes, build_handover
 from fescueseam.handshake.homes import HomeTable
 from fescueseam.handshake.member import Member
 from fescueseam.handshake.members import Fleet
-from fescueseam.handshake.notices import Holding, Locate, Located
+from fescueseam.handshake.notices import Holding, HomeHandover, Locate, Located
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_TIMEOUT_S,
@@ -54,9 +55,9 @@
     get_remote_penalty_s: Callable[[], float] = lambda: DEFAULT_REMOTE_PENALTY_S
     """Returns the delay added for a backend server in another data centre."""
     has_member_list: bool = False
-    """Whether the member list has been read. Until then an unknown agent may hold a flow, so that
-    flows without a known home are not reset."""
+    """Whether the member list has been read; until then flows are not reset for want of a home."""
     homes: HomeTable = field(factory=HomeTable)
+    handed_over: HandedOverHomes = field(factory=HandedOverHomes)
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
@@ -96,7 +97,7 @@
         if member is None or self.fleet.is_unreachable(member, now):
             del self.homes[flow]
             return self._start_search(segment, flow, now)
-        self.homes.record_use(flow, now)
+        self.homes.record_use(flow, segment.finishes, now)
         return [self._forward(segment, member, home.service, Purpose.DELIVER)]
 
     def handle_returned_packet(self, segment: Segment, sender_address: int, now: float) -> Effects:
@@ -132,11 +133,25 @@
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
         """Answer another balancer with the agent to which a flow was last forwarded."""
-        home = self.homes.get(body.flow)
+        home = self.homes.get(body.flow) or self.handed_over.get(body.flow)
         member = None if home is None else self.fleet.find(home.agent)
-        if home is None or member is None or self.fleet.is_unreachable(member, now):
+        if member is None or self.fleet.is_unreachable(member, now):
             return [SendNotice(origin, Located(body.flow, Holding.NO))]
-        return [SendNotice(origin, Located(body.flow, Holding.UNSURE, home.agent))]
+        return [SendNotice(origin, Located(body.flow, Holding.UNSURE, member.identity.name))]
+
+    def hand_over_homes(self, now: float) -> Effects:
+        """Hand the homes of open flows over to the neighbours that stay."""
+        return build_handover(self.homes, self.fleet, now)
+
+    def handle_handover(self, body: HomeHandover, now: float) -> None:
+        """Remember the homes of a neighbour that stops."""
+        self.handed_over.record(body, self.fleet, now)
+
+    def expire(self, now: float, home_retention_s: float) -> None:
+        """Forget homes that have not been used for a time, and delivered openings."""
+        self.homes.expire(now, home_retention_s)
+        self.handed_over.expire(now, home_retention_s)
+        self.offered.expire(now)
 
     def tick(self, now: float, heard_until: float | None = None) -> Effects:
         """Handle overdue offers and searches, and retry deferred openings.
@@ -327,7 +342,8 @@
     ) -> Effects:
         services = self.configuration.list_services(flow)
         if services:
-            return self.finder.start(flow, services, segment, excluded_agent, now)
+            likely = self.handed_over.take_agent(flow)
+            return self.finder.start(flow, services, segment, excluded_agent, now, likely)
         if self.configuration.rules.version == 0:
             return [LogEvent("packet-dropped", {"flow": format_flow(flow), "reason": "no-rules"})]
         fields = {"flow": format_flow(flow), "reason": "no-route"}
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -9,6 +9,7 @@
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.notices import (
     Holding,
+    HomeHandover,
     Locate,
     LocateBatch,
     Located,
@@ -48,10 +49,10 @@
         batch.service = body.service
         for item, flow in zip(batch.init("flows", len(body.flows)), body.flows, strict=True):
             _write_flow(item, flow)
+    elif isinstance(body, HomeHandover):
+        _write_all_located(message.body.init("homeHandover", len(body.homes)), body.homes)
     else:
-        answers = message.body.init("locatedBatch", len(body.answers))
-        for item, answer in zip(answers, body.answers, strict=True):
-            _write_located(item, answer)
+        _write_all_located(message.body.init("locatedBatch", len(body.answers)), body.answers)
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -78,9 +79,16 @@
         return LocateBatch(tuple(_read_flow(item) for item in batch.flows), batch.service)
     if kind == "locatedBatch":
         return LocatedBatch(tuple(_read_located(item) for item in message.body.locatedBatch))
+    if kind == "homeHandover":
+        return HomeHandover(tuple(_read_located(item) for item in message.body.homeHandover))
     return _read_located(message.body.located)
 
 
+def _write_all_located(targets: Any, items: tuple[Located, ...]) -> None:
+    for target, item in zip(targets, items, strict=True):
+        _write_located(target, item)
+
+
 def _write_located(target: Any, body: Located) -> None:
     _write_flow(target.flow, body.flow)
     target.holding = int(body.holding)
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -59,6 +59,7 @@
         segment: Segment,
         excluded_agent: str,
         now: float,
+        likely_agent: str = "",
     ) -> Effects:
         """Start the search for a flow's home; skip the agent that has just returned its packet.
 
@@ -72,6 +73,9 @@
         search = HomeSearch(flow, services, now, now + HINT_TIMEOUT_S, excluded_agent)
         self.searches[flow] = search
         self.buffer_segment(search, segment)
+        likely = self.fleet.find(likely_agent) if likely_agent != excluded_agent else None
+        if likely is not None and not segment.opens and not self.fleet.is_unreachable(likely, now):
+            return self._check_hint(search, likely, now)
         denying_agents = self.denials.find(flow, segment.sequence, now)
         if denying_agents:
             search.answers = dict.fromkeys(denying_agents, Holding.NO)
@@ -157,6 +161,9 @@
         if search.has_only_openings():
             self.discard(search.flow)
             return self.on_found(search, member, body.holding, now)
+        return self._check_hint(search, member, now)
+
+    def _check_hint(self, search: HomeSearch, member: Member, now: float) -> Effects:
         # The hint may be stale, and packets must not reach a backend server without the flow, so
         # the agent is asked first.
         search.pending_hints.clear()
--- a/packages/fescueseam/src/fescueseam/handshake/homes.py
+++ b/packages/fescueseam/src/fescueseam/handshake/homes.py
@@ -18,6 +18,8 @@
     service: str
     used_at: float
     """Time of the last packet or offer that was forwarded to the agent."""
+    finished: bool = False
+    """Whether the caller has closed the flow."""
 
 
 class HomeTable(OrderedDict[FlowId, Home]):
@@ -30,9 +32,11 @@
         if len(self) > HOMES_LIMIT:
             self.popitem(last=False)
 
-    def record_use(self, flow: FlowId, now: float) -> None:
-        """Record that a packet was forwarded to the home of a flow."""
-        self[flow].used_at = now
+    def record_use(self, flow: FlowId, finishes: bool, now: float) -> None:
+        """Record that a packet, which may close the flow, was forwarded to its home."""
+        home = self[flow]
+        home.used_at = now
+        home.finished = home.finished or finishes
         self.move_to_end(flow)
 
     def expire(self, now: float, idle_s: float) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -72,7 +72,14 @@
     answers: tuple[Located, ...]
 
 
-NoticeBody = Report | Locate | Located | LocateBatch | LocatedBatch
+@frozen
+class HomeHandover:
+    """Homes of flows that a stopping balancer hands over to a neighbouring one."""
+
+    homes: tuple[Located, ...]
+
+
+NoticeBody = Report | Locate | Located | LocateBatch | LocatedBatch | HomeHandover
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -11,6 +11,7 @@
     located @5 :Located;
     locateBatch @6 :LocateBatch;
     locatedBatch @7 :List(Located);
+    homeHandover @8 :List(Located);
   }
 }
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -23,6 +23,7 @@
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import (
+    HomeHandover,
     Locate,
     LocateBatch,
     Located,
@@ -299,6 +300,8 @@
                 self.execute(address, core.handle_locate(sender, body, self.now))
             elif isinstance(body, LocateBatch) and isinstance(core, Agent):
                 self.execute(address, core.handle_locate_batch(sender, body, self.now))
+            elif isinstance(body, HomeHandover) and isinstance(core, Balancer):
+                core.handle_handover(body, self.now)
             elif isinstance(body, Located | LocatedBatch) and isinstance(core, Balancer):
                 core.fleet.record_message(name, self.now)
                 answers = body.answers if isinstance(body, LocatedBatch) else (body,)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -9,6 +9,7 @@
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.notices import (
     Holding,
+    HomeHandover,
     Locate,
     LocateBatch,
     Located,
@@ -39,6 +40,7 @@
         Locate(FLOW, "alerts"),
         Located(FLOW, Holding.HALF_OPEN),
         LocateBatch((FLOW, OTHER_FLOW), "alerts"),
+        HomeHandover((Located(FLOW, Holding.UNSURE, "agent-1"),)),
         LocatedBatch((Located(FLOW, Holding.YES), Located(OTHER_FLOW, Holding.UNSURE, "agent-2"))),
     )
 ]
