Find out at once whether a backend server runs that was never heard

Ruled out: to take a stop for the end of the server (agents are also stopped beside living servers).

Change: an agent that has heard no server 0.25 s after its start, or when it is stopped, opens one connection to the server's address. Where that is refused no server runs, so no flow exists there: it reports this, answers 'no', and withdraws from the store when it stops. The tests fail before the change.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -19,6 +19,11 @@
 The backend server sends the remaining answers again to the next agent."""
 STORE_WITHDRAW_TIMEOUT_S = 0.5
 """Longest time that a shutdown waits for the store to remove the agent's entry, in seconds."""
+BACKEND_CHECK_DELAY_S = 0.25
+"""Time without a heartbeat after the start after which it is checked once whether a backend server
+runs, in seconds. Most servers are heard by then, and the others wait for the next heartbeat."""
+BACKEND_CHECK_TIMEOUT_S = 0.2
+"""Longest time that this check takes, in seconds."""
 BALANCER_TIMEOUT_S = 2.0
 """Time without a message from any balancer after which the member list is read again, in
 seconds."""
@@ -63,18 +68,43 @@
                 ("membership", self._maintain_membership),
                 ("ticker", self.ticker.run),
                 ("maintenance", self._run_periodic_tasks),
+                ("backend-check", self._check_backend_after_start),
             ):
                 nursery.start_soon(node.barrier.keep_running, place, loop)
 
     async def shut_down(self) -> None:
         """Stop admitting flows and wait for accepted ones to be answered."""
+        await self._check_backend()
         self.node.execute(self.core.start_shutdown(trio.current_time()))
         with trio.move_on_after(SHUTDOWN_GRACE_S):
             while self.core.has_accepted_work(trio.current_time()):
                 await trio.sleep(TICK_INTERVAL_S)
-        if self.core.backend.availability is Availability.LEFT:
+        if self.core.backend.compute_availability(trio.current_time()) is Availability.LEFT:
             await self._withdraw_from_store()
 
+    async def _check_backend_after_start(self) -> None:
+        await trio.sleep(BACKEND_CHECK_DELAY_S)
+        await self._check_backend()
+        self.node.execute(self.core.tick(trio.current_time()))
+
+    async def _check_backend(self) -> None:
+        """Find out whether a backend server runs, if none has been heard.
+
+        A process that does not run holds no flows. Balancers reset no flow that an agent may hold,
+        so they need to know this soon after a loss of power.
+        """
+        backend = self.node.settings.backend
+        if backend is None or self.core.backend.last_heartbeat is not None:
+            return
+        with trio.move_on_after(BACKEND_CHECK_TIMEOUT_S), trio.socket.socket() as sock:
+            try:
+                await sock.connect((backend.address, backend.port))
+            except ConnectionRefusedError:
+                self.core.backend.record_refused_connection()
+                self.node.log_event("backend-missing", {"address": str(backend)})
+            except OSError as exc:
+                self.node.log_event("backend-unchecked", {"cause": str(exc)})
+
     async def _withdraw_from_store(self) -> None:
         # The backend server has left, so balancers no longer need to find this agent.
         with trio.move_on_after(STORE_WITHDRAW_TIMEOUT_S):
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -95,7 +95,8 @@
             if segment.resets:
                 self.flows.remove(flow)
             return [Deliver(segment)]
-        if segment.mark.purpose is Purpose.PROBE or not self.backend.knows_all_flows:
+        is_unsure = segment.mark.purpose is Purpose.PROBE or not self.backend.knows_all_flows
+        if is_unsure and not self.backend.is_missing(now):
             entry = self.flows.add(flow, now)
             entry.probe_origin = segment.mark.origin
             self.flows.record_caller_packet(flow, entry, segment, now)
@@ -367,9 +368,7 @@
         if service != self.backend.service:
             return Holding.NO
         if entry is None or entry.probe_origin:
-            is_certain = self.backend.knows_all_flows or self.backend.is_first_heartbeat_overdue(
-                now
-            )
+            is_certain = self.backend.knows_all_flows or self.backend.is_missing(now)
             return Holding.NO if is_certain else Holding.UNSURE
         if entry.is_open:
             return Holding.YES
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -71,6 +71,8 @@
     cold_start: ColdStartLimiter = field(factory=ColdStartLimiter)
     _previous_starts: list[tuple[str, int]] = field(factory=list)
     _is_absence_noticed: bool = False
+    _refuses_connections: bool = False
+    """Whether nothing listened at the backend server's address when this was last checked."""
     _unconfirmed: Heartbeat | None = None
     """Newest heartbeat of a start that looks older than the current one."""
 
@@ -106,9 +108,19 @@
             and waited_s > FIRST_HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s
         )
 
+    def record_refused_connection(self) -> None:
+        """Record that nothing listens at the backend server's address."""
+        self._refuses_connections = True
+
+    def is_missing(self, now: float) -> bool:
+        """Return whether no backend server has run since this process started."""
+        return self.is_first_heartbeat_overdue(now) or (
+            self.last_heartbeat is None and self._refuses_connections
+        )
+
     def notice_absence(self, now: float) -> bool:
-        """Return True once, as soon as the first heartbeat is overdue."""
-        if self._is_absence_noticed or not self.is_first_heartbeat_overdue(now):
+        """Return True once, as soon as the backend server is known to be missing."""
+        if self._is_absence_noticed or not self.is_missing(now):
             return False
         self._is_absence_noticed = True
         return True
@@ -128,6 +140,7 @@
     def record_packet(self) -> None:
         """Record a packet from the backend server."""
         self.unanswered_openings = 0
+        self._refuses_connections = False
 
     def record_unanswered_opening(self) -> None:
         """Record an opening packet that was not answered in time."""
@@ -136,7 +149,7 @@
     def compute_availability(self, now: float) -> Availability:
         """Return the availability of the backend server for new flows."""
         unanswered = self.unanswered_openings >= UNANSWERED_OPENINGS_LIMIT
-        if self.is_first_heartbeat_overdue(now):
+        if self.is_missing(now):
             return Availability.LEFT
         if self.availability is Availability.UNKNOWN and unanswered:
             return Availability.ABSENT
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_backend.py
@@ -120,3 +120,27 @@
     monitor = BackendMonitor("alerts", 1.0, 10.0)
     monitor.record_heartbeat(evolve(HEARTBEAT, started_ms=10**15, sequence=8), 12.0)
     assert not monitor.knows_all_flows
+
+
+def test_server_that_refuses_connections_is_missing_until_it_is_heard() -> None:
+    monitor = BackendMonitor("alerts", 1.0, 10.0)
+    monitor.record_refused_connection()
+    assert monitor.compute_availability(10.1) is Availability.LEFT
+    assert monitor.notice_absence(10.1)
+    assert not monitor.notice_absence(10.2)
+    monitor.record_heartbeat(HEARTBEAT, 10.3)
+    assert monitor.compute_availability(10.3) is Availability.READY
+
+
+def test_refused_connection_of_a_server_that_was_heard_means_nothing(
+    monitor: BackendMonitor,
+) -> None:
+    monitor.record_refused_connection()
+    assert monitor.compute_availability(10.5) is Availability.READY
+
+
+def test_packet_of_a_server_shows_that_it_runs() -> None:
+    monitor = BackendMonitor("alerts", 1.0, 10.0)
+    monitor.record_refused_connection()
+    monitor.record_packet()
+    assert monitor.compute_availability(10.1) is Availability.UNKNOWN
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -298,3 +298,20 @@
     cluster.request(flow, 1)
     cluster.run(0.07)
     assert cluster.answers[flow] > answers
+
+
+def test_agent_whose_server_does_not_run_holds_up_no_reset() -> None:
+    cluster = Cluster()
+    cluster.add_balancer(1)
+    for address in range(11, 17):
+        cluster.add_agent(address, sequence=1)
+    retired = cluster.add_agent(17, backend=FakeBackend("retired", alive=False))
+    cluster.run(0.3)
+    retired.backend.record_refused_connection()
+    cluster.execute(17, retired.tick(cluster.now))
+    cluster.run(0.01)
+    del cluster.nodes[17]
+    cluster.request(build_flow(0), 1)
+    cluster.run(0.2)
+    assert cluster.resets == [build_flow(0)]
+    assert cluster.count_events("flow-probed") == 0
