--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
@@ -13,11 +13,11 @@
 from fescueseam.handshake.agent import Agent
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat
 from fescueseam.handshake.balancer import Balancer
-from fescueseam.handshake.effects import Effects, LogEvent
+from fescueseam.handshake.effects import Effects, LogEvent, SendNotice
 from fescueseam.handshake.homes import HOMES_LIMIT
 from fescueseam.handshake.member import Availability, Identity, Load, Role
 from fescueseam.handshake.members import Fleet
-from fescueseam.handshake.notices import Holding, Locate, Located, Report
+from fescueseam.handshake.notices import Holding, HomeHandover, Locate, Located, Report
 from fescueseam.handshake.openings import DEFERRED_LIMIT
 from fescueseam.handshake.rules import ActiveConfiguration, Outage
 from fescueseam.handshake.searches import BUFFERED_SEGMENTS_LIMIT, SEARCHES_LIMIT
@@ -80,7 +80,7 @@
             core.fleet.remove_expired(self.now)
             core.fleet.select_due_members(0.25, self.now)
             core.fleet.select_probed_members(self.now)
-        self.balancer.homes.expire(self.now, 60.0)
+        self.balancer.expire(self.now, 60.0)
 
     @rule(number=addresses)
     def list_member(self, number: int) -> None:
@@ -153,6 +153,19 @@
             self.send_packet(number, 100, False)
         self.locate_answer(number, BALANCERS[1], Holding.UNSURE, agent)
 
+    @rule(numbers=st.lists(numbers, max_size=4), agent=st.sampled_from(AGENTS))
+    def receive_handover(self, numbers: list[int], agent: int) -> None:
+        name = build_identity(agent).name
+        homes = tuple(Located(build_flow(item), Holding.UNSURE, name) for item in numbers)
+        self.balancer.handle_handover(HomeHandover(homes), self.now)
+
+    @rule()
+    def hand_over(self) -> None:
+        effects = self.balancer.hand_over_homes(self.now)
+        self.check(effects)
+        receivers = {effect.address for effect in effects if isinstance(effect, SendNotice)}
+        assert receivers <= set(BALANCERS) - {OWN_BALANCER}
+
     @rule(number=numbers, origin=addresses, service=st.sampled_from((ALERTS, INTAKE, "")))
     def locate(self, number: int, origin: int, service: str) -> None:
         body = Locate(build_flow(number), service)
@@ -197,6 +210,10 @@
     def deregister(self, start: int) -> None:
         self.check(self.agent.handle_deregistration(f"i-{start % 2}", self.now))
 
+    @rule()
+    def refuse_connection(self) -> None:
+        self.agent.backend.record_refused_connection()
+
     @rule()
     def stop(self) -> None:
         self.check(self.agent.start_shutdown(self.now))
@@ -206,6 +223,9 @@
         if not hasattr(self, "balancer"):
             return
         assert len(self.balancer.homes) <= HOMES_LIMIT
+        assert len(self.balancer.handed_over) <= HOMES_LIMIT
+        assert not set(self.balancer.offered.unanswered) & set(self.balancer.offered.delivered)
+        assert not (self.agent.backend.is_missing(self.now) and self.agent.backend.last_heartbeat)
         assert len(self.balancer.deferred) <= DEFERRED_LIMIT
         assert len(self.balancer.searches) <= SEARCHES_LIMIT
         for search in self.balancer.searches.values():
