--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Installs the libraries and packages that the daemons need into target/deps and compiles them.
+# Installs the libraries and packages that the daemons need into target/deps and compiles them. The modules
+# that a start imports are also written into one file.
 set -eu
 deps=target/deps
 lock=requirements/daemons-lock.txt
@@ -17,3 +18,6 @@
     done
 done
 python3 -m compileall -q "$deps"
+PYTHONPATH="$deps" python3 -S -m fescueseam_daemon.module_bundle "$deps/modules.bundle" \
+    fescueseam_daemon.trio_import fescueseam_platform.adapter fescueseam_daemon.handshake.running \
+    fescueseam_daemon.handshake.agent fescueseam_daemon.handshake.balancer
