--- a/review/harness.py
+++ b/review/harness.py
@@ -752,6 +752,7 @@
 def run_case(folder, main):
     """Run a case for 115 s at most and exit with its result: 1 broken, 0 held, 2 did not run."""
     result = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     async def run():
         async with asyncio.timeout(115):
