--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 from harness import BOUNDS, TROUBLE, StreamProxy, World, build_manifest, run_case  # noqa: E402
 
-ROUTE, NEW_ROUTE = ("198.18.0.1", 8443), ("198.18.0.2", 8080)
+ROUTE, NEW_ROUTE = ("127.7.0.1", 8443), ("127.7.0.2", 8080)
 BALANCERS = {"edge-1": "esclusa-uno", "edge-2": "esclusa-uno", "edge-3": "esclusa-dos"}
 AGENTS = {"side-1": ("esclusa-uno", "bitacora"), "side-2": ("esclusa-uno", "bitacora"),
           "side-3": ("esclusa-dos", "bitacora")}
