Ask whoever may hold a flow, not only the services of its route

Where new flows go says nothing about where open ones are.

Agents now report the service addresses of the flows that they hold. A search asks the agents of the route's services, of those it had within 60 s, and those that report the address; before a reset also the agents that may hold flows unknown to them.

Ruled out: loss of handed-over homes alone (flows are found again while the route is unchanged). Weighed: asking all agents of all services before each reset, which grows with the fleet.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -272,7 +272,7 @@
             await trio.sleep(WATCHER_CHECK_INTERVAL_S)
 
     def _apply_rules(self, rules: Rules, source: str) -> None:
-        if self.configuration.update_rules(rules):
+        if self.configuration.update_rules(rules, trio.current_time()):
             fields = {"config": rules.version, "routes": len(rules.routes), "source": source}
             self.node.log_event("rules-taken", fields)
             fleet = self.node.fleet
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -19,7 +19,8 @@
     SendToCaller,
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
-from fescueseam.handshake.flows import Flow, FlowTable
+from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S, Flow, FlowTable
+from fescueseam.handshake.holders import build_held_flows
 from fescueseam.handshake.load_averages import LoadAverages
 from fescueseam.handshake.member import Availability, Load, Member
 from fescueseam.handshake.members import Fleet
@@ -46,8 +47,6 @@
     format_flow,
 )
 
-IDLE_FLOW_TIMEOUT_S = 60.0
-"""Idle time after which a flow is removed, in seconds. No caller keeps a flow idle for longer."""
 REASON_BUSY = "busy"
 """Reason for returning an opening packet while all slots are busy: the only reason that usually
 ends within a service time."""
@@ -234,6 +233,7 @@
             failing=self.failures.compute_failing_share(stuck, now),
             cold=self.backend.cold_start.is_cold(now),
             leaving=self.leaving,
+            held=build_held_flows(self.flows, self.backend, now),
         )
 
     def build_report(
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from fescueseam.handshake.cold_start import ColdStartLimiter
+from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S
 from fescueseam.handshake.member import Availability, compute_age_ms
 
 PREVIOUS_STARTS_LIMIT = 16
@@ -118,6 +119,14 @@
             self.last_heartbeat is None and self._refuses_connections
         )
 
+    def may_hold_unknown_flows(self, now: float) -> bool:
+        """Return whether the backend server may hold flows that the agent has not seen.
+
+        After a time, each flow that was not seen has been idle for too long to count.
+        """
+        is_recent = now - self.listening_since < IDLE_FLOW_TIMEOUT_S
+        return is_recent and not self.knows_all_flows and not self.is_missing(now)
+
     def notice_absence(self, now: float) -> bool:
         """Return True once, as soon as the backend server is known to be missing."""
         if self._is_absence_noticed or not self.is_missing(now):
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -340,7 +340,7 @@
     def _start_search(
         self, segment: Segment, flow: FlowId, now: float, excluded_agent: str = ""
     ) -> Effects:
-        services = self.configuration.list_services(flow)
+        services = self.configuration.list_services(flow, now)
         if services:
             likely = self.handed_over.take_agent(flow)
             return self.finder.start(flow, services, segment, excluded_agent, now, likely)
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -6,7 +6,7 @@
 import capnp
 
 from fescueseam.exceptions import MessageError
-from fescueseam.handshake.member import Availability, Identity, Load, Role
+from fescueseam.handshake.member import Availability, HeldFlows, Identity, Load, Role
 from fescueseam.handshake.notices import (
     Holding,
     HomeHandover,
@@ -19,10 +19,12 @@
     Report,
 )
 from fescueseam.handshake.rules import Outage
-from fescueseam.handshake.segments import FlowId
+from fescueseam.handshake.segments import FlowId, ServiceAddress
 
 TRAVERSAL_LIMIT_WORDS = 1 << 16
 """Largest amount of data that the decoder reads in one notice, in words of 8 bytes."""
+PORT_BITS = 16
+"""Number of bits of the port in a number that holds an address and a port."""
 REPORTED_MEMBERS_LIMIT = 64
 """Largest number of known members in one report, so that it fits into one datagram."""
 
@@ -127,6 +129,10 @@
     )
 
 
+def _read_service_address(value: int) -> ServiceAddress:
+    return value >> PORT_BITS, value & ((1 << PORT_BITS) - 1)
+
+
 def _write_report(target: Any, body: Report) -> None:
     _write_identity(target.identity, body.identity)
     load = target.load
@@ -139,6 +145,9 @@
     load.failing = body.load.failing
     load.cold = body.load.cold
     load.leaving = body.load.leaving
+    load.hasUnknownFlows = body.load.held.has_unknown_flows
+    addresses = sorted(body.load.held.service_addresses)
+    load.heldAddresses = [address << PORT_BITS | port for address, port in addresses]
     target.rulesVersion = body.rules_version
     target.outageRevision = body.outage.revision
     target.dataCentresOut = sorted(body.outage.data_centres)
@@ -169,6 +178,10 @@
             load.cold,
             load.leaving,
             load.failing,
+            HeldFlows(
+                frozenset(_read_service_address(item) for item in load.heldAddresses),
+                load.hasUnknownFlows,
+            ),
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -196,8 +196,13 @@
             # No neighbouring balancer has offered the opening, so it is placed as a new one. If an
             # agent admitted an earlier copy, a second half-open flow elsewhere does no harm.
             return self._report_not_found(search, now)
-        unreachable, departed = set(), set()
-        for member in self.fleet.list_agents(search.services):
+        self._add_candidates(search, self.fleet.list_holders(search.services, search.flow[2:]), now)
+        return self._ask_pending_agents(search, now) or self._advance(search, now)
+
+    def _add_candidates(self, search: HomeSearch, members: list[Member], now: float) -> None:
+        """Add agents that are to be asked; those that have answered are not asked again."""
+        unreachable, departed = set(search.unreachable_agents), set(search.departed_agents)
+        for member in members:
             name = member.identity.name
             is_unreachable = self.fleet.is_unreachable(member, now)
             if name == search.excluded_agent or (
@@ -212,7 +217,21 @@
                 departed.add(name)
         search.unreachable_agents = frozenset(unreachable)
         search.departed_agents = frozenset(departed)
-        return self._ask_pending_agents(search, now) or self._advance(search, now)
+
+    def _widen(self, search: HomeSearch, now: float) -> Effects | None:
+        """Ask the agents that may hold flows unknown to them; return None if there are none.
+
+        Their backend servers may hold the flow from a time when its route had another service.
+        """
+        if search.is_widened or search.has_only_openings():
+            return None
+        search.is_widened = True
+        known = len(search.answers)
+        self._add_candidates(search, self.fleet.list_agents_with_unknown_flows(), now)
+        if len(search.answers) == known:
+            return None
+        search.rounds = 0
+        return self._ask_pending_agents(search, now)
 
     def _ask_pending_agents(self, search: HomeSearch, now: float) -> Effects:
         """Ask the agents that have not answered, or wait for the budget of questions."""
@@ -273,6 +292,9 @@
         return [Forward(member.identity.address, search.segments[0], mark)]
 
     def _report_not_found(self, search: HomeSearch, now: float) -> Effects:
+        effects = self._widen(search, now)
+        if effects is not None:
+            return effects
         self.discard(search.flow)
         if not search.has_only_openings():
             sequence = search.segments[-1].sequence
--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -1,15 +1,23 @@
 """Table of the flows of one backend server."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from attrs import define, field, frozen
 
-from fescueseam.handshake.segments import SEQUENCE_MODULUS, FlowId, Segment, is_sequence_after
+from fescueseam.handshake.segments import (
+    SEQUENCE_MODULUS,
+    FlowId,
+    Segment,
+    ServiceAddress,
+    is_sequence_after,
+)
 
 FLOWS_LIMIT = 8192
 """Largest number of flows in the table. A backend server takes fewer."""
 ENDED_FLOW_RETENTION_S = 10.0
 """Time for which an ended flow is kept for retransmissions of its last packets, in seconds."""
+IDLE_FLOW_TIMEOUT_S = 60.0
+"""Idle time after which a flow is removed, in seconds. No caller keeps a flow idle for longer."""
 HALF_OPEN_FLOW_RETENTION_S = 5.0
 """Time for which a flow that did not complete its handshake is kept, in seconds. Callers give up
 sooner."""
@@ -73,6 +81,7 @@
     flows: OrderedDict[FlowId, Flow] = field(factory=OrderedDict)
     busy: int = 0
     """Number of flows with a pending request."""
+    _flows_by_address: Counter[ServiceAddress] = field(factory=Counter)
 
     def find(self, flow: FlowId) -> Flow | None:
         """Return a flow, or None if it is not in the table."""
@@ -82,16 +91,27 @@
         """Add a flow; evict the least recently used one if the table is full."""
         if len(self.flows) >= FLOWS_LIMIT:
             self.remove(next(iter(self.flows)))
+        if flow not in self.flows:
+            self._flows_by_address[flow[2:]] += 1
         entry = self.flows[flow] = Flow(now, now)
         return entry
 
     def remove(self, flow: FlowId) -> Flow | None:
         """Remove a flow and return it, or None if it is not in the table."""
         entry = self.flows.pop(flow, None)
-        if entry is not None and entry.pending_request_at is not None:
+        if entry is None:
+            return None
+        if entry.pending_request_at is not None:
             self.busy -= 1
+        self._flows_by_address[flow[2:]] -= 1
+        if not self._flows_by_address[flow[2:]]:
+            del self._flows_by_address[flow[2:]]
         return entry
 
+    def list_service_addresses(self) -> frozenset[ServiceAddress]:
+        """Return the service addresses of the flows in the table."""
+        return frozenset(self._flows_by_address)
+
     def clear_pending_requests(self) -> None:
         """Drop every pending request, because the backend server has restarted."""
         for entry in self.flows.values():
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -5,6 +5,8 @@
 
 from attrs import define, field, frozen
 
+from fescueseam.handshake.segments import ServiceAddress
+
 
 class Role(StrEnum):
     """Role of a process."""
@@ -42,6 +44,20 @@
     incarnation: int = 0
 
 
+@frozen
+class HeldFlows:
+    """Which flows an agent's backend server may hold, by their service addresses."""
+
+    service_addresses: frozenset[ServiceAddress] = frozenset()
+    """Service addresses of the flows that the agent knows."""
+    has_unknown_flows: bool = False
+    """Whether the backend server may hold flows that the agent does not know, of any address."""
+
+
+NO_FLOWS = HeldFlows()
+UNKNOWN_FLOWS = HeldFlows(has_unknown_flows=True)
+
+
 @frozen
 class Load:
     """Load and state of a backend server, as its agent reports them."""
@@ -60,6 +76,7 @@
     """Whether the process itself is shutting down."""
     failing: float = 0.0
     """Share of the latest requests that got no answer."""
+    held: HeldFlows = NO_FLOWS
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -6,7 +6,16 @@
 
 from attrs import define, evolve, field
 
-from fescueseam.handshake.member import LEAVING_STATES, Availability, Identity, Load, Member, Role
+from fescueseam.handshake.holders import HolderIndex
+from fescueseam.handshake.member import (
+    LEAVING_STATES,
+    UNKNOWN_FLOWS,
+    Availability,
+    Identity,
+    Load,
+    Member,
+    Role,
+)
 from fescueseam.handshake.report_intervals import (
     MAX_FAR_INTERVAL_S,
     MAX_NEAR_INTERVAL_S,
@@ -17,6 +26,7 @@
     compute_near_agent_interval,
     compute_near_balancer_interval,
 )
+from fescueseam.handshake.segments import ServiceAddress
 
 NEIGHBOUR_TIMEOUT_S = 2.2
 """Time without a message after which a balancer is not asked for the homes of flows, in seconds:
@@ -45,6 +55,8 @@
 
     own: Identity
     members: dict[str, Member] = field(factory=dict)
+    holders: HolderIndex = field(factory=HolderIndex)
+    """Which flows the agents hold, as they have reported."""
     _by_address: dict[int, Member] = field(factory=dict)
     _agents_by_service: dict[str, tuple[Member, ...]] = field(factory=dict)
     """Agents of each service, sorted by name; built on first use and cleared on changes."""
@@ -92,6 +104,8 @@
             # The agent has restarted and does not know yet that its server drains or has left.
             load = evolve(load, availability=known.load.availability)
         known.load = load
+        if known.identity.role is Role.AGENT:
+            self.holders.record(identity.name, load.held)
         known.had_backend = known.had_backend or not known.is_without_backend()
         known.sequence = sequence
         known.last_heard_at = now
@@ -132,6 +146,18 @@
             for member in self._agents_by_service.get(name, ())
         ]
 
+    def list_holders(self, services: Iterable[str], address: ServiceAddress) -> list[Member]:
+        """Return the agents of some services, and the others that hold flows of an address."""
+        agents = self.list_agents(services)
+        names = {member.identity.name for member in agents}
+        return agents + self._find_all(
+            name for name in self.holders.list_holders(address) if name not in names
+        )
+
+    def list_agents_with_unknown_flows(self) -> list[Member]:
+        """Return the agents whose backend servers may hold flows of any service address."""
+        return self._find_all(self.holders.list_with_unknown_flows())
+
     def list_balancers(self) -> tuple[Member, ...]:
         """Return all known balancers."""
         if self._balancers is None:
@@ -239,6 +265,9 @@
             self._remove(member)
         return [member.identity for member in expired]
 
+    def _find_all(self, names: Iterable[str]) -> list[Member]:
+        return [self.members[name] for name in names if name in self.members]
+
     def _add(self, identity: Identity, now: float) -> Member | None:
         # An address belongs to one process at a time, so a new member replaces the earlier one.
         for earlier in (self.find_by_address(identity.address), self.members.get(identity.name)):
@@ -248,12 +277,16 @@
             return None
         member = Member(identity, now)
         self.members[identity.name] = self._by_address[identity.address] = member
+        if identity.role is Role.AGENT:
+            # It may hold flows until its first report tells.
+            self.holders.record(identity.name, UNKNOWN_FLOWS)
         self._clear_caches()
         return member
 
     def _remove(self, member: Member) -> None:
         self.members.pop(member.identity.name, None)
         self._by_address.pop(member.identity.address, None)
+        self.holders.discard(member.identity.name)
         self._clear_caches()
 
     def _clear_caches(self) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -5,11 +5,14 @@
 from attrs import define, field, frozen
 
 from fescueseam.exceptions import MessageError
-from fescueseam.handshake.segments import FlowId
+from fescueseam.handshake.segments import FlowId, ServiceAddress
 
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 """Idle timeout of flows until a configuration states one, in seconds."""
 MAX_PORT = 65_535
+FORMER_SERVICE_RETENTION_S = 60.0
+"""Time for which a service that a route no longer has is remembered, in seconds: the longest life
+of an idle flow."""
 
 
 @frozen
@@ -78,14 +81,18 @@
 
     rules: Rules = field(factory=Rules)
     outage: Outage = field(factory=Outage)
-    _routes: dict[tuple[int, int], Route] = field(factory=dict)
+    _routes: dict[ServiceAddress, Route] = field(factory=dict)
+    _former_services: dict[ServiceAddress, dict[str, float]] = field(factory=dict)
+    """Services that routes had in earlier rules, and when each was last replaced."""
 
-    def update_rules(self, rules: Rules) -> bool:
+    def update_rules(self, rules: Rules, now: float) -> bool:
         """Replace the rules if the version is newer; return whether it was."""
         if rules.version <= self.rules.version:
             return False
+        previous = self._routes
         self.rules = rules
         self._routes = {(route.address, route.port): route for route in rules.routes}
+        self._record_former_services(previous, now)
         return True
 
     def is_complete(self) -> bool:
@@ -122,7 +129,30 @@
                 return share.service
         return route.shares[-1].service
 
-    def list_services(self, flow: FlowId) -> tuple[str, ...]:
-        """Return all services of a flow's route."""
+    def list_services(self, flow: FlowId, now: float) -> tuple[str, ...]:
+        """Return the services that may hold a flow: those of its route, and then former ones.
+
+        New rules leave open flows where they are, unless they remove the route.
+        """
         route = self.find_route(flow)
-        return () if route is None else tuple(share.service for share in route.shares)
+        if route is None:
+            return ()
+        former = self._former_services.get(flow[2:], {})
+        recent = [name for name, at in former.items() if now - at < FORMER_SERVICE_RETENTION_S]
+        return tuple(dict.fromkeys([*(share.service for share in route.shares), *recent]))
+
+    def _record_former_services(self, previous: dict[ServiceAddress, Route], now: float) -> None:
+        for address, route in previous.items():
+            current = self._routes.get(address)
+            if current is not None and current.shares == route.shares:
+                continue
+            former = self._former_services.setdefault(address, {})
+            former.update((share.service, now) for share in route.shares)
+        for address, former in list(self._former_services.items()):
+            recent = {
+                name: at for name, at in former.items() if now - at < FORMER_SERVICE_RETENTION_S
+            }
+            if recent:
+                self._former_services[address] = recent
+            else:
+                del self._former_services[address]
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -34,6 +34,8 @@
   cold @6 :Bool;
   leaving @7 :Bool;
   failing @8 :Float32;
+  heldAddresses @9 :List(UInt64);
+  hasUnknownFlows @10 :Bool;
 }
 
 struct ColdBound {
--- a/packages/fescueseam/src/fescueseam/handshake/searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/searches.py
@@ -48,6 +48,8 @@
     are waited for in the first round only."""
     rounds: int = 0
     """Number of rounds in which agents have been asked."""
+    is_widened: bool = False
+    """Whether the agents with unknown flows, of whichever service, have been asked too."""
     waits_for_budget: bool = False
     """Whether the next round waits because too many questions were sent lately."""
     probe_target: str = ""
--- a/packages/fescueseam/src/fescueseam/handshake/segments.py
+++ b/packages/fescueseam/src/fescueseam/handshake/segments.py
@@ -9,6 +9,8 @@
 
 FlowId = tuple[int, int, int, int]
 """Caller address, caller port, service address and service port of a flow."""
+ServiceAddress = tuple[int, int]
+"""Address and port to which callers send the packets of a service."""
 
 SEQUENCE_MODULUS = 1 << 32
 """Sequence numbers wrap at 32 bits."""
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -146,7 +146,7 @@
             f"balancer-{address}", Role.BALANCER, address, data_centre, "", self._next_sequence()
         )
         configuration = ActiveConfiguration()
-        configuration.update_rules(self.rules)
+        configuration.update_rules(self.rules, self.now)
         configuration.update_outage(Outage(1))
         core = Balancer(Fleet(own), configuration, self.now, has_member_list=True)
         self._add_node(address, core, own)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_choice.py
@@ -23,7 +23,7 @@
 def configuration() -> ActiveConfiguration:
     """Return a configuration with all data centres in use."""
     configuration = ActiveConfiguration()
-    configuration.update_rules(RULES)
+    configuration.update_rules(RULES, 0.0)
     configuration.update_outage(Outage(1))
     return configuration
 
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_notice_histories.py
@@ -54,7 +54,7 @@
         self.now = 1000.0
         self.sequence = 0
         configuration = ActiveConfiguration()
-        configuration.update_rules(RULES)
+        configuration.update_rules(RULES, 0.0)
         configuration.update_outage(Outage(1))
         own = build_identity(OWN_BALANCER)
         self.balancer = Balancer(Fleet(own), configuration, self.now)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
@@ -183,15 +183,15 @@
 
 def test_an_older_configuration_is_not_taken(cluster: Cluster) -> None:
     configuration = cluster.nodes[1].configuration
-    assert configuration.update_rules(Rules(5))
-    assert not configuration.update_rules(Rules(4))
+    assert configuration.update_rules(Rules(5), 0.0)
+    assert not configuration.update_rules(Rules(4), 0.0)
     assert configuration.rules.version == 5
 
 
 def test_split_route_distributes_flows_by_weight(cluster: Cluster) -> None:
     shares = (RouteShare(ALERTS, 90), RouteShare(INTAKE, 10))
     configuration = cluster.nodes[1].configuration
-    configuration.update_rules(Rules(2, (Route("r", SERVICE_ADDRESS, SERVICE_PORT, shares),)))
+    configuration.update_rules(Rules(2, (Route("r", SERVICE_ADDRESS, SERVICE_PORT, shares),)), 0.0)
     services = [configuration.choose_service(build_flow(number)) for number in range(1000)]
     assert 850 <= services.count(ALERTS) <= 950
     assert services == [configuration.choose_service(build_flow(number)) for number in range(1000)]
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_recovery.py
@@ -47,7 +47,7 @@
         cluster.send(build_opening(item), 1)
     cluster.run(0.1)
     assert count_all_openings(cluster) == 0
-    balancer.configuration.update_rules(RULES)
+    balancer.configuration.update_rules(RULES, 0.0)
     cluster.run(0.1)
     assert cluster.answers[flow] == 1
     assert cluster.answers[unknown] == 0
