Notice silent watches of the store within the limit of the settings

The hold now follows from store_silence_limit_ms (the template takes it from the platform's bounds), less the margin for the reply and the time for reading and spreading a change; a watch that ran into its timeout is followed by a read at once. The watch of outages has the same loop.

Ruled out: the fetch from a peer (no peer has the change); TCP keep-alive (the far kernel goes on answering).

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -28,9 +28,6 @@
 
 REPORT_BATCH_INTERVAL_S = 0.05
 """Interval between batches of due reports, in seconds. Small batches do not fill a narrow link."""
-STORE_WATCH_TIMEOUT_S = 5.0
-"""Time for which the store holds a watch open, in seconds. It bounds how long a silent connection
-goes unnoticed."""
 WATCHER_CHECK_INTERVAL_S = 0.25
 """Interval at which a balancer that does not watch the store checks whether it has to, in
 seconds."""
@@ -234,15 +231,16 @@
         node = self.node
         revision: int | None = None
         while True:
+            called_at = trio.current_time()
             try:
                 if revision is None:
                     snapshot = await node.store.read_rules()
                 else:
                     await self._wait_until_watcher()
-                    snapshot = await node.store.watch_rules(revision, STORE_WATCH_TIMEOUT_S)
+                    snapshot = await node.store.watch_rules(revision, node.store_watch_s)
             except StoreError as exc:
                 revision = None
-                await node.handle_store_failure(exc)
+                await node.handle_store_failure(exc, called_at)
                 continue
             revision = snapshot.revision
             node.store_status.record_success(trio.current_time())
@@ -253,16 +251,17 @@
         node = self.node
         outage: Outage | None = None
         while True:
+            called_at = trio.current_time()
             try:
                 if outage is None:
                     outage = await node.store.read_outage()
                 else:
                     await self._wait_until_watcher()
-                    changes = await node.store.watch_outage(outage.revision, STORE_WATCH_TIMEOUT_S)
+                    changes = await node.store.watch_outage(outage.revision, node.store_watch_s)
                     outage = changes.apply_to(outage)
             except StoreError as exc:
                 outage = None
-                await node.handle_store_failure(exc)
+                await node.handle_store_failure(exc, called_at)
                 continue
             node.store_status.record_success(trio.current_time())
             self._apply_outage(outage, "store")
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -28,8 +28,16 @@
 from fescueseam_daemon.failure_barrier import FailureBarrier
 from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.notice_codec import NoticeCodec
-from fescueseam_daemon.handshake.platform_interface import ControlStore, Platform
-from fescueseam_daemon.handshake.settings import HandshakeSettings, SocketAddress
+from fescueseam_daemon.handshake.platform_interface import (
+    WATCH_MARGIN_S,
+    ControlStore,
+    Platform,
+)
+from fescueseam_daemon.handshake.settings import (
+    CHANGE_SPREAD_S,
+    HandshakeSettings,
+    SocketAddress,
+)
 from fescueseam_daemon.handshake.udp import UdpSocket
 from fescueseam_daemon.handshake.web import (
     INTERNAL_ERROR,
@@ -47,6 +55,8 @@
 RECENTLY_HEARD_S = 2.2
 """Shortest time without a message after which a member is asked for a report, in seconds: two of
 the longest intervals of near members and a margin."""
+MAX_STORE_WATCH_S = 5.0
+"""Longest time for which the store is asked to hold a watch, in seconds."""
 MIN_STORE_BACKOFF_S = 0.25
 """Shortest delay before a failed call of the store is retried, in seconds."""
 MAX_STORE_BACKOFF_S = 2.0
@@ -116,6 +126,16 @@
         edge = settings.answers or settings.packets
         self.edge_socket = UdpSocket(edge.address, edge.port)
 
+    @property
+    def store_watch_s(self) -> float:
+        """Return the time for which the store is asked to hold a watch, in seconds.
+
+        A watch on a silent connection is noticed, and its change read and passed on, within the
+        limit of the settings.
+        """
+        limit_s = self.settings.store_silence_limit_s
+        return min(MAX_STORE_WATCH_S, limit_s - WATCH_MARGIN_S - CHANGE_SPREAD_S)
+
     def start(self) -> None:
         """Bind the UDP sockets."""
         for sock in (self.notice_socket, self.peer_socket, self.edge_socket):
@@ -252,8 +272,12 @@
             self.store_status.record_success(trio.current_time())
             return members
 
-    async def handle_store_failure(self, exc: StoreError) -> None:
-        """Record a failed call of the store and wait for the backoff."""
+    async def handle_store_failure(self, exc: StoreError, called_at: float | None = None) -> None:
+        """Record a failed call of the store and wait for the backoff.
+
+        The backoff of a watch counts from its start, given as `called_at`: one that ended by its
+        timeout is followed by a read at once, as a change may have been missed.
+        """
         self.store_status.record_failure(exc, trio.current_time())
         wait_s = compute_backoff(
             self.store_status.consecutive_failures,
@@ -261,7 +285,8 @@
             MIN_STORE_BACKOFF_S,
             MAX_STORE_BACKOFF_S,
         )
-        await trio.sleep(max(wait_s, MIN_STORE_BACKOFF_S))
+        since = trio.current_time() if called_at is None else called_at
+        await trio.sleep_until(since + max(wait_s, MIN_STORE_BACKOFF_S))
 
     async def serve_metrics(self) -> None:
         """Serve the metrics over HTTP until cancelled."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
@@ -9,6 +9,10 @@
 from fescueseam.handshake.rules import Outage, Rules
 from fescueseam.handshake.segments import PacketFormat
 
+WATCH_MARGIN_S = 0.8
+"""Time that the reply to a watch may take beyond the time for which the store holds it, in
+seconds. Later the connection counts as silent."""
+
 
 @frozen
 class Deregistration:
@@ -46,13 +50,19 @@
         """Return the configuration."""
 
     async def watch_rules(self, revision: int, wait_s: float) -> RulesSnapshot:
-        """Wait up to `wait_s` seconds for a configuration newer than a revision."""
+        """Wait up to `wait_s` seconds for a configuration newer than a revision.
+
+        Raise StoreError if there is no reply within WATCH_MARGIN_S after that time.
+        """
 
     async def read_outage(self) -> Outage:
         """Return the data centres that are taken out."""
 
     async def watch_outage(self, revision: int, wait_s: float) -> OutageChanges:
-        """Wait up to `wait_s` seconds for changes to the data centres taken out."""
+        """Wait up to `wait_s` seconds for changes to the data centres taken out.
+
+        Raise StoreError if there is no reply within WATCH_MARGIN_S after that time.
+        """
 
     async def list_members(self, allow_stale: bool) -> list[Identity]:
         """Return the registered members; a stale list is cheap and may be seconds old."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -22,6 +22,13 @@
 """Largest preference for servers of the own data centre, in milliseconds."""
 PEER_PORT_COUNT = 3
 """Number of consecutive ports that processes use among themselves: notices, packets, HTTP."""
+CHANGE_SPREAD_S = 0.7
+"""Time for reading a change from the store and passing it on to the other balancers, in seconds."""
+DEFAULT_STORE_SILENCE_LIMIT_MS = 4000
+"""Default of `store_silence_limit_ms`."""
+MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS = 2000, 60_000
+"""Bounds of `store_silence_limit_ms`. Below the first one, watches would be renewed twice a second
+or more."""
 DEFAULT_LOG_LINES_PER_S = 20.0
 """Default limit of log lines per second for each event."""
 
@@ -65,6 +72,9 @@
     log_lines_per_s: float = DEFAULT_LOG_LINES_PER_S
     remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S
     """Wait for a slot in the own data centre that a balancer prefers to a server in another one."""
+    store_silence_limit_s: float = DEFAULT_STORE_SILENCE_LIMIT_MS / 1000
+    """Time within which a change is in force although connections to the store went silent before
+    it, in seconds."""
     keys: "tuple[KeySettings, ...]" = ()
     """Keys of the notices between processes; the first signs. Without any, they are not signed."""
 
@@ -89,6 +99,7 @@
     "metrics_port": (int,),
     "log_lines_per_s": (int, float),
     "remote_penalty_ms": (int, float),
+    "store_silence_limit_ms": (int, float),
     "keys": (list,),
 }
 """Accepted types of the value of each key."""
@@ -101,6 +112,7 @@
     "seeds",
     "log_lines_per_s",
     "remote_penalty_ms",
+    "store_silence_limit_ms",
     "keys",
 }
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
@@ -187,6 +199,11 @@
     if key == "remote_penalty_ms" and not 0 <= value <= MAX_REMOTE_PENALTY_MS:
         hint = f"use 0 to {MAX_REMOTE_PENALTY_MS}"
         yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
+    if key == "store_silence_limit_ms" and not (
+        MIN_STORE_SILENCE_LIMIT_MS <= value <= MAX_STORE_SILENCE_LIMIT_MS
+    ):
+        hint = f"use {MIN_STORE_SILENCE_LIMIT_MS} to {MAX_STORE_SILENCE_LIMIT_MS}"
+        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
 
 
 def _check_peer_ports(values: dict[str, Any], file_name: str) -> Iterator[Fault]:
@@ -264,6 +281,9 @@
         metrics_port=values["metrics_port"],
         log_lines_per_s=float(values.get("log_lines_per_s") or DEFAULT_LOG_LINES_PER_S),
         remote_penalty_s=(values.get("remote_penalty_ms", DEFAULT_REMOTE_PENALTY_S * 1000) / 1000),
+        store_silence_limit_s=(
+            values.get("store_silence_limit_ms", DEFAULT_STORE_SILENCE_LIMIT_MS) / 1000
+        ),
         keys=_build_keys(values.get("keys", [])),
     )
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/conftest.py
@@ -17,6 +17,14 @@
 ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.1"
 """Address of this run, so that concurrent runs do not share it."""
 PEER_PORT = 7720
+BALANCER_CHANGES: dict[str, Any] = {
+    "packets": f"{ADDRESS}:8172",
+    "readiness": f"{ADDRESS}:8167",
+    "heartbeats": "",
+    "answers": "",
+    "seeds": [],
+}
+"""Settings of a balancer that differ from those of an agent."""
 
 
 class NoPlatform:
@@ -53,11 +61,4 @@
 @pytest.fixture
 def node() -> Node:
     """Return the node of a balancer on loopback."""
-    changes = {
-        "packets": f"{ADDRESS}:8172",
-        "readiness": f"{ADDRESS}:8167",
-        "heartbeats": "",
-        "answers": "",
-        "seeds": [],
-    }
-    return build_node(Identity("balancer-1", Role.BALANCER, 1, "a"), **changes)
+    return build_node(Identity("balancer-1", Role.BALANCER, 1, "a"), **BALANCER_CHANGES)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_store_watch.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_store_watch.py
@@ -15,7 +15,7 @@
 from fescueseam.handshake.notices import Report
 from fescueseam.handshake.rules import Outage, Rules
 from fescueseam.handshake.watchers import WATCHERS_PER_DATA_CENTRE, is_watcher
-from fescueseam_daemon.handshake.balancer import STORE_WATCH_TIMEOUT_S, BalancerProcess
+from fescueseam_daemon.handshake.balancer import BalancerProcess
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import OutageChanges, RulesSnapshot
 
@@ -107,7 +107,7 @@
 def test_balancer_watches_once_its_neighbours_are_silent(node: Node, store: CountingStore) -> None:
     process = follow(node, store, 30, hear_until_s=1)
     assert process.configuration.rules.version == 2
-    watches = (30 - 4) // STORE_WATCH_TIMEOUT_S
+    watches = (30 - 4) // node.store_watch_s
     assert watches <= store.calls["watch_rules"] <= watches + 2
     assert watches <= store.calls["watch_outage"] <= watches + 2
 
