Do not read on connections that may have gone silent

A connection that was idle for 1 s is not used again, and a timeout closes the idle connections too. test_web.py (went_silent, two cases) failed before with the old client and passes now.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_web.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from fescueseam_daemon.handshake.web import HttpClient, LostResponseError
+from fescueseam_daemon.handshake.web import MAX_IDLE_TIME_S, HttpClient, LostResponseError
 
 ADDRESS = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.2"
 PORT = 8181
@@ -92,3 +92,33 @@
             await trio.sleep(2 * delay_s)
 
     trio.run(run_with_server, serve, use)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, MAX_IDLE_TIME_S + 0.1])
+def test_read_after_the_connections_went_silent_costs_one_timeout_at_most(pause_s: float) -> None:
+    # Guards against: each idle connection is tried, and each of them takes a whole timeout.
+    silent: set[trio.SocketStream] = set()
+    opened: set[trio.SocketStream] = set()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        opened.add(stream)
+        with contextlib.suppress(trio.BrokenResourceError):
+            async for _ in stream:
+                if stream not in silent:
+                    await trio.sleep(0.05)
+                    await stream.send_all(RESPONSE)
+
+    async def use(client: HttpClient) -> None:
+        async with trio.open_nursery() as nursery:
+            for path in ("/a", "/b"):
+                nursery.start_soon(client.request, "GET", path, None, 2.0)
+        assert len(opened) == 2
+        silent.update(opened)
+        await trio.sleep(pause_s)
+        if not pause_s:
+            with pytest.raises(LostResponseError):
+                await client.request("GET", "/c", None, 0.2)
+        with trio.fail_after(0.2):
+            assert (await client.request("GET", "/d", None, 2.0)).status == 200
+
+    trio.run(run_with_server, serve, use)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -21,6 +21,9 @@
 """Largest number of connections that are served at the same time."""
 REPEATABLE_METHODS = ("GET",)
 """Methods whose requests change nothing, so that they may be sent again."""
+MAX_IDLE_TIME_S = 1.0
+"""Time after which an idle connection of a client is not used again, in seconds. It may have gone
+silent, which only a timeout would show."""
 MAX_IDLE_CONNECTIONS = 2
 """Largest number of idle connections that a client keeps open."""
 RECEIVE_CHUNK_BYTES = 65_536
@@ -132,7 +135,8 @@
 
     address: str
     port: int
-    _idle_connections: list[tuple[h11.Connection, trio.SocketStream]] = field(factory=list)
+    _idle_connections: list[tuple[h11.Connection, trio.SocketStream, float]] = field(factory=list)
+    """Connections without a request, and since when."""
 
     async def request(
         self, method: str, target: str, body: bytes | None, timeout_s: float
@@ -150,6 +154,8 @@
                 except ClosedConnectionError:
                     await self.close()
             return await self._request(method, target, body)
+        # The other connections may have gone silent at the same time.
+        await self.close()
         raise LostResponseError(f"no response to {method} {target} within {timeout_s:g} s")
 
     async def close(self) -> None:
@@ -181,15 +187,16 @@
         if is_reusable and not conn.trailing_data[0]:
             conn.start_next_cycle()
             if len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
-                self._idle_connections.append((conn, stream))
+                self._idle_connections.append((conn, stream, trio.current_time()))
                 return response
         await trio.aclose_forcefully(stream)
         return response
 
     async def _acquire_connection(self) -> tuple[h11.Connection, trio.SocketStream]:
         while self._idle_connections:
-            conn, stream = self._idle_connections.pop()
-            if not await _has_unread_data(stream):
+            conn, stream, idle_since = self._idle_connections.pop()
+            is_recent = trio.current_time() - idle_since < MAX_IDLE_TIME_S
+            if is_recent and not await _has_unread_data(stream):
                 return conn, stream
             # A second copy of an answer would be taken as the answer to the next request.
             await trio.aclose_forcefully(stream)
