Leave out entries of the store that cannot be read, not the whole list

Reported by operators of a similar system: one odd entry of another writer (nested deeply, a number too large, a port out of range) ended the readers of its list, or they stopped following it. Here no process ended, but members, configuration and outage come as lists that were decoded whole, so one such entry made every read fail while it stood.

A reply that cannot be decoded is now opened without recursion, and the parts that cannot be read are left out; the content of an object is kept or left out whole.

Ruled out: ends of processes, as the failure barrier contains the errors.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/agent_node.py
@@ -52,7 +52,7 @@
     """Return the names in a value, or no names if it is malformed."""
     try:
         names = json.loads(value.value)
-    except ValueError:
+    except (ValueError, RecursionError):
         return frozenset()
     return frozenset(str(name) for name in names) if isinstance(names, list) else frozenset()
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_nodes.py
@@ -9,7 +9,8 @@
 from fescueseam.exceptions import FescueseamError
 from fescueseam.messages import types
 from fescueseam.routing.view import View
-from fescueseam_daemon.control.agent_node import AgentNode
+from fescueseam.versions.values import VersionedValue
+from fescueseam_daemon.control.agent_node import AgentNode, decode_suspects
 from fescueseam_daemon.control.balancer_node import BalancerNode
 
 KEYS = (KeySettings(1, "one"),)
@@ -166,3 +167,8 @@
     node.handle(types.Message("b0", 1, types.GossipValues((deletion,)), target="own"), 1.5)
     node.tick(1.6)
     assert list_report_keys(node, "own") == [key]
+
+
+@pytest.mark.parametrize("data", [b"[" * 30_000, b"9" * 5000, b"\xff", b"{}", b"7"])
+def test_unreadable_list_of_suspects_names_nobody(data: bytes) -> None:
+    assert decode_suspects(VersionedValue("suspects/katalog/b", 3, data, "b")) == frozenset()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -120,6 +120,7 @@
         self.notice_codec = NoticeCodec(self.own)
         self.notice_codec.set_keys(settings.keys)
         self.store = self.platform.open_store(settings.store.address, settings.store.port)
+        self.store.on_unreadable = self._log_unreadable_entries
         self.store_status = DependencyStatus("store", self.events)
         self.notice_socket = UdpSocket(settings.address, settings.peer_port + NOTICE_PORT_OFFSET)
         self.peer_socket = UdpSocket(settings.address, settings.peer_port + PACKET_PORT_OFFSET)
@@ -312,6 +313,9 @@
         """Return the number of messages by direction and body, for the log."""
         return {"-".join(labels): count for labels, count in sorted(self.events.messages.items())}
 
+    def _log_unreadable_entries(self, kind: str, count: int) -> None:
+        self.log_event("store-entries-skipped", {"kind": kind, "count": count})
+
     def _record_failure(self, place: str, exc: Exception) -> None:
         event = build_failure_event(place, exc)
         self.log_event(event.event, event.fields)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
@@ -1,5 +1,6 @@
 """Interface between the processes and the platform that they run on."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from attrs import frozen
@@ -46,6 +47,9 @@
 class ControlStore(Protocol):
     """Client of the store; its methods raise StoreError on failure."""
 
+    on_unreadable: Callable[[str, int], None]
+    """Called with a kind of entries and the number of those that cannot be used, if it changed."""
+
     async def read_rules(self) -> RulesSnapshot:
         """Return the configuration."""
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/store.py
@@ -1,5 +1,6 @@
 """A client for the store's object API over HTTP, used by the daemons and the command."""
 
+import logging
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -8,8 +9,14 @@
 import trio
 
 from fescueseam.exceptions import ErrorKind, StoreConflictError, StoreError
+from fescueseam.lenient_json import decode_readable
 from fescueseam.upkeep.store import StoreChanges, StoredObject
 
+log = logging.getLogger(__name__)
+
+REPLY_LEVELS = 3
+"""Levels of a reply in which unreadable parts are left out: the reply, its list and the objects. A
+value is left out whole."""
 OUTCOME_FAILED = "failed"
 """Outcome of a call that failed without a response status."""
 _SUCCESS_CODES = (httpx.codes.OK, httpx.codes.CREATED)
@@ -131,7 +138,7 @@
 
 def _parse_body(reply: httpx.Response) -> dict[str, Any]:
     try:
-        body = reply.json()
+        body, _ = decode_readable(reply.content, REPLY_LEVELS)
     except ValueError as exc:
         raise ReplyLostError("the store's answer is not JSON") from exc
     if not isinstance(body, dict):
@@ -142,16 +149,23 @@
 def _read_int(body: dict[str, Any], key: str) -> int:
     try:
         return int(body[key])
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise ReplyLostError(f"the store's answer has no valid {key}") from exc
 
 
 def _read_objects(body: dict[str, Any]) -> tuple[StoredObject, ...]:
-    return tuple(_read_object(item) for item in body.get("objects", ()))
+    objects: list[StoredObject] = []
+    for item in body.get("objects", ()):
+        try:
+            objects.append(_read_object(item))
+        except StoreError as exc:
+            # It was left by another writer; the others are still valid.
+            log.warning("object of the store skipped", extra={"cause": str(exc)})
+    return tuple(objects)
 
 
 def _read_object(item: Any) -> StoredObject:
     try:
         return StoredObject(str(item["key"]), int(item["version"]), item["value"])
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, OverflowError) as exc:
         raise StoreError(f"malformed object in the store's answer: {item!r:.80}") from exc
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_store.py
@@ -89,3 +89,18 @@
     trio.run(call)
     labels = {"call": "read", "outcome": "failed"}
     assert registry.get_sample_value("fescueseam_store_calls_total", labels) == 1
+
+
+@pytest.mark.parametrize("value", [b"[" * 100_000 + b"]" * 100_000, b"9" * 5000, b'"\xff"'])
+@pytest.mark.parametrize("version", [b"3", b"1e999", b"null"])
+def test_unreadable_object_does_not_hide_the_others(value: bytes, version: bytes) -> None:
+    # Guards against: one object of another writer makes each read of the list fail.
+    body = b"""{"revision": 9, "objects": [
+        {"key": "tables/a", "version": %b, "value": %b}, 7, %b,
+        {"key": "tables/b", "version": 4, "value": {"epoch": 1}}]}"""
+    content = body % (version, value, value)
+    client = make_client(lambda request: httpx.Response(200, content=content))
+    objects = trio.run(client.list_objects, "tables/")
+    assert [item.key for item in objects] == ["tables/b"]
+    changes = trio.run(client.watch, "tables/", 3, 0.0)
+    assert (changes.revision, changes.objects) == (9, objects)
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -10,6 +10,8 @@
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 """Idle timeout of flows until a configuration states one, in seconds."""
 MAX_PORT = 65_535
+MAX_VERSION = 2**63 - 1
+"""Largest version that can be sent on in notices."""
 FORMER_SERVICE_RETENTION_S = 60.0
 """Time for which a service that a route no longer has is remembered, in seconds: the longest life
 of an idle flow."""
@@ -57,8 +59,10 @@
     numbers = [rules.idle_timeout_s]
     numbers += [item.cold_openings_per_s for item in rules.services]
     numbers += [share.weight for route in rules.routes for share in route.shares]
-    if rules.version < 0 or not all(math.isfinite(item) and item >= 0 for item in numbers):
-        raise MessageError("a number in the configuration is negative or not finite")
+    if not 0 <= rules.version <= MAX_VERSION or not all(
+        math.isfinite(item) and item >= 0 for item in numbers
+    ):
+        raise MessageError("a number in the configuration is negative, too large or not finite")
     if not all(1 <= route.port <= MAX_PORT for route in rules.routes):
         raise MessageError("the port of a route is out of range")
     return rules
--- a/packages/fescueseam/src/fescueseam/upkeep/codec.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/codec.py
@@ -38,5 +38,5 @@
     """Decode a table from a versioned value; raise StoreError if it is malformed."""
     try:
         return decode_table(json.loads(value.value))
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise StoreError(f"malformed table: {exc}", ErrorKind.MALFORMED_MESSAGE) from exc
