Hand on the homes that were handed over by others

A balancer that stopped handed over the homes that it had used, but not those that a neighbour had handed over to it before.

Agents with unknown flows also name the addresses that they do know, so that they are asked in the first step.

--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -141,7 +141,7 @@
 
     def hand_over_homes(self, now: float) -> Effects:
         """Hand the homes of open flows over to the neighbours that stay."""
-        return build_handover(self.homes, self.fleet, now)
+        return build_handover(self.homes, self.handed_over, self.fleet, now)
 
     def handle_handover(self, body: HomeHandover, now: float) -> None:
         """Remember the homes of a neighbour that stops."""
--- a/packages/fescueseam/src/fescueseam/handshake/handover.py
+++ b/packages/fescueseam/src/fescueseam/handshake/handover.py
@@ -4,7 +4,7 @@
 meantime; without a hand-over all agents would be asked about each idle flow.
 """
 
-from itertools import islice
+from itertools import chain, islice
 
 from fescueseam.handshake.effects import Effects, SendNotice
 from fescueseam.handshake.homes import HomeTable
@@ -37,17 +37,19 @@
         return "" if home is None else home.agent
 
 
-def build_handover(homes: HomeTable, fleet: Fleet, now: float) -> Effects:
+def build_handover(homes: HomeTable, handed_over: HomeTable, fleet: Fleet, now: float) -> Effects:
     """Return the notices that spread the homes of open flows over the neighbours that stay.
 
-    Each home goes to one neighbour only, as a search asks all of them.
+    Homes that were handed over to this balancer follow its own ones. Each goes to one neighbour
+    only, as a search asks all of them.
     """
     neighbours = [item for item in fleet.list_neighbours(now) if not item.load.leaving]
     if not neighbours:
         return []
+    not_used = (item for item in reversed(handed_over.items()) if item[0] not in homes)
     open_flows = (
         Located(flow, Holding.UNSURE, home.agent)
-        for flow, home in reversed(homes.items())
+        for flow, home in chain(reversed(homes.items()), not_used)
         if not home.finished
     )
     selected = tuple(islice(open_flows, HANDED_OVER_FLOWS_LIMIT))
--- a/packages/fescueseam/src/fescueseam/handshake/holders.py
+++ b/packages/fescueseam/src/fescueseam/handshake/holders.py
@@ -17,9 +17,9 @@
 def build_held_flows(flows: FlowTable, backend: BackendMonitor, now: float) -> HeldFlows:
     """Return what an agent reports of the flows that its backend server holds."""
     addresses = flows.list_service_addresses()
-    if backend.may_hold_unknown_flows(now) or len(addresses) > HELD_ADDRESSES_LIMIT:
+    if len(addresses) > HELD_ADDRESSES_LIMIT:
         return UNKNOWN_FLOWS
-    return HeldFlows(addresses)
+    return HeldFlows(addresses, backend.may_hold_unknown_flows(now))
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_handover.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_handover.py
@@ -48,6 +48,24 @@
     assert busy_cluster.resets == []
 
 
+def test_homes_are_found_with_few_questions_after_a_second_restart(busy_cluster: Cluster) -> None:
+    # Guards against: a balancer that stops forgets the homes that were handed over to it.
+    for address in (1, 2, 3):
+        balancer = busy_cluster.nodes[address]
+        busy_cluster.execute(address, balancer.hand_over_homes(busy_cluster.now))
+        busy_cluster.run(0.01)
+        busy_cluster.add_balancer(address)
+        busy_cluster.run(1.0)
+    busy_cluster.locate_requests.clear()
+    for number, flow in enumerate(FLOWS):
+        busy_cluster.request(flow, 1 + number % 3)
+        busy_cluster.run(0.02)
+    asked = sum(receiver in AGENTS for _, receiver in busy_cluster.locate_requests)
+    assert asked == len(FLOWS)
+    assert busy_cluster.count_events("flow-found") == len(FLOWS)
+    assert busy_cluster.resets == []
+
+
 def test_neighbour_asks_the_agent_before_it_uses_a_handed_over_home(busy_cluster: Cluster) -> None:
     flow = FLOWS[0]
     home = busy_cluster.find_home(flow)
@@ -77,7 +95,7 @@
     balancer = busy_cluster.nodes[1]
     busy_cluster.send(build_segment(FLOWS[0], finishes=True), 1)
     busy_cluster.run(0.01)
-    notices = build_handover(balancer.homes, balancer.fleet, busy_cluster.now)
+    notices = build_handover(balancer.homes, balancer.handed_over, balancer.fleet, busy_cluster.now)
     flows = {item.flow for notice in notices for item in notice.body.homes}
     assert flows == set(FLOWS[1:])
 
@@ -89,7 +107,7 @@
     for number in range(2 * HANDED_OVER_FLOWS_LIMIT):
         homes.remember(build_flow(number), "agent-11", "alerts", busy_cluster.now)
     fleet = busy_cluster.nodes[1].fleet
-    notices = build_handover(homes, fleet, busy_cluster.now)
+    notices = build_handover(homes, HomeTable(), fleet, busy_cluster.now)
     assert [notice.address for notice in notices[:4]] in ([2, 3, 2, 3], [3, 2, 3, 2])
     bodies = [notice.body for notice in notices]
     assert all(isinstance(body, HomeHandover) for body in bodies)
