--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -28,8 +28,9 @@
 from fescueseam_daemon.failure_barrier import FailureBarrier
 
 TICK_INTERVAL_S = 0.05
-WATCH_TIMEOUT_S = 30.0
-"""Longest time that one watch of the store waits for a change, in seconds."""
+WATCH_TIMEOUT_S = 1.5
+"""Longest time that one watch of the store waits for a change, in seconds. It bounds, with the
+margin of the reply, how long a connection that went silent hides a change."""
 WATCH_RETRY_CAP_S = 2.0
 """Largest delay before a failed watch is retried, in seconds.
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/store.py
@@ -6,7 +6,9 @@
 from fescueseam_daemon.store import StoreClient
 
 CALL_TIMEOUT_S = 3.0
-"""Timeout of a call, in seconds; a watch may take this much longer than its own time."""
+"""Timeout of a call, in seconds."""
+WATCH_MARGIN_S = 1.0
+"""Time that the reply to a watch may take longer than the watch, in seconds."""
 CONCURRENT_CALLS_LIMIT = 4
 """Largest number of calls of one process that are in flight at once."""
 
@@ -34,5 +36,5 @@
             trust_env=False,
         )
         super().__init__(
-            client, CALL_TIMEOUT_S, lambda call, outcome: calls.labels(call, outcome).inc()
+            client, WATCH_MARGIN_S, lambda call, outcome: calls.labels(call, outcome).inc()
         )
