--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -231,7 +231,7 @@
         node = self.node
         revision: int | None = None
         while True:
-            called_at = trio.current_time()
+            watched_since = None if revision is None else trio.current_time()
             try:
                 if revision is None:
                     snapshot = await node.store.read_rules()
@@ -240,7 +240,7 @@
                     snapshot = await node.store.watch_rules(revision, node.store_watch_s)
             except StoreError as exc:
                 revision = None
-                await node.handle_store_failure(exc, called_at)
+                await node.handle_store_failure(exc, watched_since)
                 continue
             revision = snapshot.revision
             node.store_status.record_success(trio.current_time())
@@ -251,7 +251,7 @@
         node = self.node
         outage: Outage | None = None
         while True:
-            called_at = trio.current_time()
+            watched_since = None if outage is None else trio.current_time()
             try:
                 if outage is None:
                     outage = await node.store.read_outage()
@@ -261,7 +261,7 @@
                     outage = changes.apply_to(outage)
             except StoreError as exc:
                 outage = None
-                await node.handle_store_failure(exc, called_at)
+                await node.handle_store_failure(exc, watched_since)
                 continue
             node.store_status.record_success(trio.current_time())
             self._apply_outage(outage, "store")
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -273,11 +273,13 @@
             self.store_status.record_success(trio.current_time())
             return members
 
-    async def handle_store_failure(self, exc: StoreError, called_at: float | None = None) -> None:
+    async def handle_store_failure(
+        self, exc: StoreError, watched_since: float | None = None
+    ) -> None:
         """Record a failed call of the store and wait for the backoff.
 
-        The backoff of a watch counts from its start, given as `called_at`: one that ended by its
-        timeout is followed by a read at once, as a change may have been missed.
+        The backoff after a watch counts from its start: one that ran into its timeout is followed
+        by a read at once, as a change may have been missed.
         """
         self.store_status.record_failure(exc, trio.current_time())
         wait_s = compute_backoff(
@@ -286,7 +288,7 @@
             MIN_STORE_BACKOFF_S,
             MAX_STORE_BACKOFF_S,
         )
-        since = trio.current_time() if called_at is None else called_at
+        since = trio.current_time() if watched_since is None else watched_since
         await trio.sleep_until(since + max(wait_s, MIN_STORE_BACKOFF_S))
 
     async def serve_metrics(self) -> None:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_silent_store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_silent_store.py
@@ -13,7 +13,7 @@
 from fescueseam.handshake.member import Identity, Role
 from fescueseam.handshake.rules import Outage, Rules
 from fescueseam_daemon.handshake.balancer import BalancerProcess
-from fescueseam_daemon.handshake.node import Node
+from fescueseam_daemon.handshake.node import MIN_STORE_BACKOFF_S, Node
 from fescueseam_daemon.handshake.platform_interface import (
     WATCH_MARGIN_S,
     OutageChanges,
@@ -120,3 +120,26 @@
         assert 10 <= store.calls["watch_rules"] <= 80
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_failed_reads_are_tried_again_with_a_delay(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: reads of a store that is away follow each other without a pause.
+    async def main() -> None:
+        store, pauses = SilentStore(), []
+        ended_at = -math.inf
+
+        async def fail() -> RulesSnapshot:
+            nonlocal ended_at
+            pauses.append(trio.current_time() - ended_at)
+            await trio.sleep(2.0)
+            ended_at = trio.current_time()
+            raise LostResponseError("no response")
+
+        monkeypatch.setattr(SilentStore, "read_rules", lambda store: fail())
+        process = BalancerProcess(build_process(store, monkeypatch))
+        with trio.move_on_after(60.0):
+            await process._watch_rules()
+        assert len(pauses) >= 10
+        assert min(pauses) >= MIN_STORE_BACKOFF_S
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
