--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_silent_store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_silent_store.py
@@ -78,7 +78,7 @@
             raise LostResponseError("no response")
 
 
-def build_process(store: SilentStore, monkeypatch: pytest.MonkeyPatch, **changes: Any) -> Node:
+def build_silent_node(store: SilentStore, monkeypatch: pytest.MonkeyPatch, **changes: Any) -> Node:
     monkeypatch.setattr(Node, "send_notice", lambda node, address, body: None)
     node = build_node(Identity("balancer-1", Role.BALANCER, 1, "a"), **BALANCER_CHANGES, **changes)
     node.store = store  # type: ignore[assignment]
@@ -93,7 +93,7 @@
     # Guards against: a silent watch is noticed only after the time within which a change is due.
     async def main() -> None:
         store = SilentStore()
-        node = build_process(store, monkeypatch, store_silence_limit_ms=limit_ms)
+        node = build_silent_node(store, monkeypatch, store_silence_limit_ms=limit_ms)
         process = BalancerProcess(node)
         async with trio.open_nursery() as nursery:
             process._nursery = nursery
@@ -114,7 +114,7 @@
 def test_refused_watches_are_tried_again_with_a_delay(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         store = SilentStore(refuses_watches=True)
-        process = BalancerProcess(build_process(store, monkeypatch))
+        process = BalancerProcess(build_silent_node(store, monkeypatch))
         with trio.move_on_after(20.0):
             await process._watch_rules()
         assert 10 <= store.calls["watch_rules"] <= 80
@@ -136,7 +136,7 @@
             raise LostResponseError("no response")
 
         monkeypatch.setattr(SilentStore, "read_rules", lambda store: fail())
-        process = BalancerProcess(build_process(store, monkeypatch))
+        process = BalancerProcess(build_silent_node(store, monkeypatch))
         with trio.move_on_after(60.0):
             await process._watch_rules()
         assert len(pauses) >= 10
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_moved_routes.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_moved_routes.py
@@ -3,6 +3,8 @@
 The balancers that knew the earlier services stop afterwards, in turn or all at once.
 """
 
+from collections.abc import Callable
+
 import pytest
 
 from fescueseam.handshake.holders import HELD_ADDRESSES_LIMIT
@@ -74,7 +76,7 @@
 
 @pytest.mark.parametrize("restart", [restart_in_turn, kill_all])
 def test_flows_of_a_moved_route_outlive_a_restart_of_all_balancers(
-    moved: Cluster, restart: object
+    moved: Cluster, restart: Callable[[Cluster], None]
 ) -> None:
     # Guards against: agents of the new service alone are asked, and the open flows are reset.
     restart(moved)
