--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -33,11 +33,7 @@
     ControlStore,
     Platform,
 )
-from fescueseam_daemon.handshake.settings import (
-    CHANGE_SPREAD_S,
-    HandshakeSettings,
-    SocketAddress,
-)
+from fescueseam_daemon.handshake.settings import HandshakeSettings, SocketAddress
 from fescueseam_daemon.handshake.udp import UdpSocket
 from fescueseam_daemon.handshake.web import (
     INTERNAL_ERROR,
@@ -57,6 +53,8 @@
 the longest intervals of near members and a margin."""
 MAX_STORE_WATCH_S = 5.0
 """Longest time for which the store is asked to hold a watch, in seconds."""
+CHANGE_SPREAD_S = 0.7
+"""Time for reading a change from the store and passing it on to the other balancers, in seconds."""
 MIN_STORE_BACKOFF_S = 0.25
 """Shortest delay before a failed call of the store is retried, in seconds."""
 MAX_STORE_BACKOFF_S = 2.0
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -22,8 +22,6 @@
 """Largest preference for servers of the own data centre, in milliseconds."""
 PEER_PORT_COUNT = 3
 """Number of consecutive ports that processes use among themselves: notices, packets, HTTP."""
-CHANGE_SPREAD_S = 0.7
-"""Time for reading a change from the store and passing it on to the other balancers, in seconds."""
 DEFAULT_STORE_SILENCE_LIMIT_MS = 4000
 """Default of `store_silence_limit_ms`."""
 MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS = 2000, 60_000
@@ -115,6 +113,11 @@
     "store_silence_limit_ms",
     "keys",
 }
+KEY_RANGES = {
+    "remote_penalty_ms": (0, MAX_REMOTE_PENALTY_MS),
+    "store_silence_limit_ms": (MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS),
+}
+"""Least and largest value of each key that has both."""
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 AGENT_KEYS = ("heartbeats", "answers", "backend", "service")
 
@@ -196,14 +199,11 @@
         yield Fault(FaultId.BAD_PORT, key, f"{value} is not a valid port", hint, file_name)
     if key in ("heartbeat_interval_ms", "log_lines_per_s") and value <= 0:
         yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is not positive", "", file_name)
-    if key == "remote_penalty_ms" and not 0 <= value <= MAX_REMOTE_PENALTY_MS:
-        hint = f"use 0 to {MAX_REMOTE_PENALTY_MS}"
-        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
-    if key == "store_silence_limit_ms" and not (
-        MIN_STORE_SILENCE_LIMIT_MS <= value <= MAX_STORE_SILENCE_LIMIT_MS
-    ):
-        hint = f"use {MIN_STORE_SILENCE_LIMIT_MS} to {MAX_STORE_SILENCE_LIMIT_MS}"
-        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
+    if key in KEY_RANGES:
+        least, most = KEY_RANGES[key]
+        if not least <= value <= most:
+            hint = f"use {least} to {most}"
+            yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
 
 
 def _check_peer_ports(values: dict[str, Any], file_name: str) -> Iterator[Fault]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -198,7 +198,8 @@
             is_recent = trio.current_time() - idle_since < MAX_IDLE_TIME_S
             if is_recent and not await _has_unread_data(stream):
                 return conn, stream
-            # A second copy of an answer would be taken as the answer to the next request.
+            # It may be silent; unread data may be a second copy of an answer, which would be taken
+            # as the answer to the next request.
             await trio.aclose_forcefully(stream)
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
--- a/packages/fescueseam/src/fescueseam/handshake/holders.py
+++ b/packages/fescueseam/src/fescueseam/handshake/holders.py
@@ -52,9 +52,9 @@
                 del self._names_by_address[address]
 
     def list_holders(self, address: ServiceAddress) -> Iterable[str]:
-        """Return the names of the agents that hold flows of a service address, sorted."""
-        return sorted(self._names_by_address.get(address, ()))
+        """Return the names of the agents that hold flows of a service address."""
+        return self._names_by_address.get(address, ())
 
     def list_with_unknown_flows(self) -> Iterable[str]:
-        """Return the names of the agents that may hold any flow, sorted."""
-        return sorted(self._names_with_unknown_flows)
+        """Return the names of the agents that may hold any flow."""
+        return self._names_with_unknown_flows
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from attrs import define, evolve, field
 
@@ -146,17 +146,16 @@
             for member in self._agents_by_service.get(name, ())
         ]
 
-    def list_holders(self, services: Iterable[str], address: ServiceAddress) -> list[Member]:
+    def list_holders(self, services: Collection[str], address: ServiceAddress) -> list[Member]:
         """Return the agents of some services, and the others that hold flows of an address."""
-        agents = self.list_agents(services)
-        names = {member.identity.name for member in agents}
-        return agents + self._find_all(
-            name for name in self.holders.list_holders(address) if name not in names
-        )
+        holders = (self.members[name] for name in self.holders.list_holders(address))
+        others = [member for member in holders if member.identity.service not in services]
+        return self.list_agents(services) + _sort_by_name(others)
 
     def list_agents_with_unknown_flows(self) -> list[Member]:
         """Return the agents whose backend servers may hold flows of any service address."""
-        return self._find_all(self.holders.list_with_unknown_flows())
+        names = self.holders.list_with_unknown_flows()
+        return _sort_by_name(self.members[name] for name in names)
 
     def list_balancers(self) -> tuple[Member, ...]:
         """Return all known balancers."""
@@ -265,9 +264,6 @@
             self._remove(member)
         return [member.identity for member in expired]
 
-    def _find_all(self, names: Iterable[str]) -> list[Member]:
-        return [self.members[name] for name in names if name in self.members]
-
     def _add(self, identity: Identity, now: float) -> Member | None:
         # An address belongs to one process at a time, so a new member replaces the earlier one.
         for earlier in (self.find_by_address(identity.address), self.members.get(identity.name)):
@@ -356,7 +352,11 @@
 
     def _group_agents(self) -> dict[str, tuple[Member, ...]]:
         groups: dict[str, list[Member]] = {}
-        for member in sorted(self.members.values(), key=lambda item: item.identity.name):
+        for member in _sort_by_name(self.members.values()):
             if member.identity.role is Role.AGENT:
                 groups.setdefault(member.identity.service, []).append(member)
         return {service: tuple(group) for service, group in groups.items()}
+
+
+def _sort_by_name(members: Iterable[Member]) -> list[Member]:
+    return sorted(members, key=lambda item: item.identity.name)
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -141,8 +141,7 @@
         route = self.find_route(flow)
         if route is None:
             return ()
-        former = self._former_services.get(flow[2:], {})
-        recent = [name for name, at in former.items() if now - at < FORMER_SERVICE_RETENTION_S]
+        recent = _keep_recent(self._former_services.get(flow[2:], {}), now)
         return tuple(dict.fromkeys([*(share.service for share in route.shares), *recent]))
 
     def _record_former_services(self, previous: dict[ServiceAddress, Route], now: float) -> None:
@@ -153,10 +152,12 @@
             former = self._former_services.setdefault(address, {})
             former.update((share.service, now) for share in route.shares)
         for address, former in list(self._former_services.items()):
-            recent = {
-                name: at for name, at in former.items() if now - at < FORMER_SERVICE_RETENTION_S
-            }
+            recent = _keep_recent(former, now)
             if recent:
                 self._former_services[address] = recent
             else:
                 del self._former_services[address]
+
+
+def _keep_recent(former: dict[str, float], now: float) -> dict[str, float]:
+    return {name: at for name, at in former.items() if now - at < FORMER_SERVICE_RETENTION_S}
