Split placement and admission of openings off, and read what routes need

The placement of openings (opening_placement.py) and their admission (opening_admission.py) are modules of their own now; the moved state is reached as balancer.placement and agent.admission, without a change of behaviour.

Routes keep the latency target, time limit and priority that the configuration states (fescueseam.overload.needs). Nothing decides by them yet. The notices have fields for learned work and for the era of the store, which are empty.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -169,7 +169,7 @@
         return Response(200, b"{}")
 
     async def _handle_readiness_request(self, request: Request) -> Response:
-        return build_readiness_response(request, not self.core.leaving)
+        return build_readiness_response(request, not self.core.admission.leaving)
 
     async def _maintain_membership(self) -> None:
         node = self.node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -7,10 +7,11 @@
 from attrs import define, field
 
 from fescueseam.exceptions import MessageError, StoreError
-from fescueseam.handshake.balancer import STARTUP_GRACE_S, Balancer
+from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.member import Identity, Load, Member, Role
 from fescueseam.handshake.notices import HomeHandover, Locate, Located, LocatedBatch, Report
+from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/rules_codec.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/rules_codec.py
@@ -5,6 +5,7 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.rules import Route, RouteShare, Rules, ServiceRules, validate_rules
+from fescueseam.overload.needs import RouteNeeds
 
 
 def encode_rules(rules: Rules) -> bytes:
@@ -22,6 +23,8 @@
             ]
             for route in rules.routes
         ],
+        # A list of its own, which balancers of earlier builds ignore.
+        "needs": [_encode_needs(route.needs) for route in rules.routes],
     }
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -30,6 +33,8 @@
     """Decode a configuration; raise MessageError if it is not valid."""
     try:
         value: dict[str, Any] = json.loads(data)
+        # A balancer of an earlier build states no needs.
+        needs = value["needs"] if "needs" in value else [None] * len(value["routes"])
         rules = Rules(
             version=int(value["version"]),
             routes=tuple(
@@ -38,8 +43,9 @@
                     int(address),
                     int(port),
                     tuple(RouteShare(str(service), float(weight)) for service, weight in shares),
+                    _decode_needs(item),
                 )
-                for name, address, port, shares in value["routes"]
+                for (name, address, port, shares), item in zip(value["routes"], needs, strict=True)
             ),
             services=tuple(
                 ServiceRules(str(name), float(bound)) for name, bound in value["services"]
@@ -49,3 +55,14 @@
     except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as exc:
         raise MessageError(f"configuration of a peer is not valid: {exc}") from exc
     return validate_rules(rules)
+
+
+def _encode_needs(needs: RouteNeeds | None) -> list[float] | None:
+    return None if needs is None else [needs.target_s, needs.limit_s, needs.priority]
+
+
+def _decode_needs(value: Any) -> RouteNeeds | None:
+    if value is None:
+        return None
+    target_s, limit_s, priority = value
+    return RouteNeeds(float(target_s), float(limit_s), int(priority))
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -1,17 +1,11 @@
 """Decisions of an agent about the packets to and from its backend server."""
 
-from collections import OrderedDict
-from functools import partial
-
 from attrs import define, field
 
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat, HeartbeatOutcome
-from fescueseam.handshake.cold_start import FALLBACK_OPENINGS_PER_S
-from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import (
     Deliver,
     Effects,
-    Forward,
     LogEvent,
     Observe,
     SendNotice,
@@ -19,7 +13,7 @@
     SendToCaller,
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
-from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S, Flow, FlowTable
+from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S, FlowTable
 from fescueseam.handshake.holders import build_held_flows
 from fescueseam.handshake.load_averages import LoadAverages
 from fescueseam.handshake.member import Availability, Load, Member
@@ -32,25 +26,15 @@
     LocatedBatch,
     Report,
 )
-from fescueseam.handshake.openings import (
-    OPENING_ANSWER_TIMEOUT_S,
-    OVERFLOW_REQUESTS_PER_SLOT,
-    DeliveredOpening,
-)
-from fescueseam.handshake.rules import Outage
+from fescueseam.handshake.opening_admission import OpeningAdmission, return_packet
 from fescueseam.handshake.segments import (
     FlowId,
-    Mark,
     Purpose,
     Segment,
     compute_service_tag,
     format_flow,
 )
 
-REASON_BUSY = "busy"
-"""Reason for returning an opening packet while all slots are busy: the only reason that usually
-ends within a service time."""
-
 
 @define(eq=False)
 class Agent:
@@ -63,17 +47,13 @@
     backend: BackendMonitor
     started_at: float
     flows: FlowTable = field(factory=FlowTable)
-    outage: Outage = field(factory=Outage)
-    cold_bounds: dict[str, float] = field(factory=dict)
-    """Largest number of openings per second for a cold backend server, by service."""
-    rules_version: int = 0
-    leaving: bool = False
     failures: FailureTracker = field(factory=FailureTracker)
     averages: LoadAverages = field(factory=LoadAverages)
-    _delivered_openings: OrderedDict[FlowId, DeliveredOpening] = field(factory=OrderedDict)
-    _service_tag: int = 0
+    admission: OpeningAdmission = field(init=False)
+    _service_tag: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.admission = OpeningAdmission(self.fleet.own, self.backend, self.flows)
         self._service_tag = compute_service_tag(self.backend.service)
 
     def handle_packet(self, segment: Segment, now: float) -> Effects:
@@ -83,11 +63,13 @@
             fields = {"flow": format_flow(flow), "reason": "wrong-service"}
             return [
                 LogEvent("packet-returned", fields),
-                self._return_packet(segment, segment.mark.origin, Purpose.WRONG_SERVICE),
+                return_packet(
+                    segment, self.backend.service, segment.mark.origin, Purpose.WRONG_SERVICE
+                ),
             ]
         entry = self.flows.find(flow)
         if segment.opens:
-            return self._admit(segment, flow, entry, now)
+            return self.admission.admit(segment, flow, entry, now)
         if entry is not None:
             self._update_utilisation(now)
             self.flows.record_caller_packet(flow, entry, segment, now)
@@ -100,7 +82,7 @@
             entry.probe_origin = segment.mark.origin
             self.flows.record_caller_packet(flow, entry, segment, now)
             return [LogEvent("flow-probed", {"flow": format_flow(flow)}), Deliver(segment)]
-        return [self._return_packet(segment, segment.mark.origin, Purpose.NOT_HERE)]
+        return [return_packet(segment, self.backend.service, segment.mark.origin, Purpose.NOT_HERE)]
 
     def handle_backend_packet(self, segment: Segment, now: float) -> Effects:
         """Return the effects of a packet that the backend server sent."""
@@ -109,7 +91,7 @@
             return self._handle_returned_packet(segment, now)
         flow = segment.get_flow_to_caller()
         effects: Effects = [SendToCaller(segment)]
-        opening = self._delivered_openings.pop(flow, None)
+        opening = self.admission.take_delivered(flow)
         if opening is not None:
             duration_s = now - opening.delivered_at
             effects.append(Observe("opening_seconds", self.backend.service, duration_s))
@@ -189,13 +171,13 @@
     def handle_report(self, body: Report, now: float) -> Effects:
         """Apply the rules and the outage of a balancer's report if they are newer."""
         effects: Effects = []
-        if body.rules_version > self.rules_version:
-            self.rules_version = body.rules_version
-            self.cold_bounds = dict(body.cold_bounds)
+        if body.rules_version > self.admission.rules_version:
+            self.admission.rules_version = body.rules_version
+            self.admission.cold_bounds = dict(body.cold_bounds)
             effects.append(LogEvent("rules-taken", {"config": body.rules_version}))
-        if body.outage.revision > self.outage.revision:
-            previous = self.outage.data_centres
-            self.outage = body.outage
+        if body.outage.revision > self.admission.outage.revision:
+            previous = self.admission.outage.data_centres
+            self.admission.outage = body.outage
             if previous != body.outage.data_centres:
                 fields = {
                     "out": sorted(body.outage.data_centres),
@@ -206,11 +188,11 @@
 
     def has_pending_work(self) -> bool:
         """Return whether an opening packet awaits the backend server's answer."""
-        return bool(self._delivered_openings)
+        return self.admission.has_pending_work()
 
     def start_shutdown(self, now: float) -> Effects:
         """Stop admitting flows and report this to the balancers."""
-        self.leaving = True
+        self.admission.leaving = True
         return self.report_to_all(now)
 
     def has_accepted_work(self, now: float) -> bool:
@@ -232,7 +214,7 @@
             service_time_s=self.averages.service_time_s,
             failing=self.failures.compute_failing_share(stuck, now),
             cold=self.backend.cold_start.is_cold(now),
-            leaving=self.leaving,
+            leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
         )
 
@@ -243,8 +225,8 @@
         return Report(
             self.fleet.own,
             self.describe_load(now),
-            self.rules_version,
-            self.outage,
+            self.admission.rules_version,
+            self.admission.outage,
             requests_report=requests_report,
             requests_members=requests_members,
         )
@@ -279,90 +261,12 @@
         """
         effects: Effects = []
         heard_until = now if heard_until is None else heard_until
-        for flow, opening in list(self._delivered_openings.items()):
-            if heard_until - opening.delivered_at < OPENING_ANSWER_TIMEOUT_S:
-                break
-            del self._delivered_openings[flow]
-            effects += contain(
-                "opening-timeout",
-                partial(self._handle_opening_timeout, flow, opening),
-                partial(self.discard_opening, flow),
-            )
+        effects += self.admission.handle_overdue_openings(now, heard_until)
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
         if self.backend.notice_absence(now):
             effects += self._report_departure("", now)
         return effects
 
-    def discard_opening(self, flow: FlowId) -> None:
-        """Drop a delivered opening. The flow table is kept: only this process holds it."""
-        self._delivered_openings.pop(flow, None)
-
-    def _handle_opening_timeout(self, flow: FlowId, opening: DeliveredOpening) -> Effects:
-        self.backend.record_unanswered_opening()
-        fields = {"flow": format_flow(flow), "unanswered": self.backend.unanswered_openings}
-        segment = opening.segment
-        return [
-            LogEvent("opening-unanswered", fields),
-            self._return_packet(segment, segment.mark.origin, Purpose.NOT_ADMITTING),
-        ]
-
-    def _admit(self, segment: Segment, flow: FlowId, entry: Flow | None, now: float) -> Effects:
-        origin = segment.mark.origin
-        if entry is not None and not entry.ended:
-            # A retransmission of an opening packet that was delivered before.
-            return [SendNotice(origin, Located(flow, Holding.YES)), Deliver(segment)]
-        reason = self._find_return_reason(segment.mark.purpose, now)
-        if reason:
-            fields = {
-                "flow": format_flow(flow),
-                "reason": reason,
-                "busy": self.flows.busy,
-                "heartbeat_age_ms": self.backend.compute_heartbeat_age_ms(now),
-            }
-            purpose = Purpose.NO_FREE_SLOT if reason == REASON_BUSY else Purpose.NOT_ADMITTING
-            return [
-                LogEvent("opening-returned", fields),
-                self._return_packet(segment, origin, purpose),
-            ]
-        if entry is not None:
-            self.flows.remove(flow)
-        self.flows.add(flow, now)
-        self.backend.cold_start.record_opening(now)
-        self._delivered_openings[flow] = DeliveredOpening(segment, now)
-        fields = {
-            "flow": format_flow(flow),
-            "backend": self.backend.last_heartbeat.name if self.backend.last_heartbeat else "",
-            "busy": self.flows.busy,
-            "config": self.rules_version,
-        }
-        return [
-            LogEvent("flow-admitted", fields),
-            Deliver(segment),
-            SendNotice(origin, Located(flow, Holding.HALF_OPEN)),
-        ]
-
-    def _find_return_reason(self, purpose: Purpose, now: float) -> str:
-        availability = self.backend.compute_availability(now)
-        if availability not in (Availability.READY, Availability.UNKNOWN):
-            return f"backend-{availability.value}"
-        if self.leaving:
-            return "agent-leaving"
-        if self.fleet.own.data_centre in self.outage.data_centres:
-            return "data-centre-out"
-        heartbeat = self.backend.last_heartbeat
-        bound = self.cold_bounds.get(self.backend.service, 0.0)
-        state_known = self.rules_version > 0 and heartbeat is not None
-        if not self.backend.cold_start.can_admit(
-            bound if state_known else FALLBACK_OPENINGS_PER_S, now, state_known
-        ):
-            return "cold"
-        slots = heartbeat.slots if heartbeat is not None else 1
-        busy = self.flows.count_at_work(now)
-        limit = slots * (
-            OVERFLOW_REQUESTS_PER_SLOT if purpose is Purpose.DELIVER_EVEN_IF_BUSY else 1
-        )
-        return REASON_BUSY if busy >= limit else ""
-
     def _find_holding(self, flow: FlowId, service: str, now: float) -> Holding:
         entry = self.flows.find(flow)
         if service != self.backend.service:
@@ -376,23 +280,20 @@
 
     def _handle_returned_packet(self, segment: Segment, now: float) -> Effects:
         flow = segment.get_flow_from_caller()
-        opening = self._delivered_openings.pop(flow, None)
+        opening = self.admission.take_delivered(flow)
         if segment.opens:
             self.flows.remove(flow)
             origin = segment.mark.origin or (opening.segment.mark.origin if opening else 0)
             fields = {"flow": format_flow(flow), "reason": "backend-returned"}
             return [
                 LogEvent("opening-returned", fields),
-                self._return_packet(segment, origin, Purpose.NOT_ADMITTING),
+                return_packet(segment, self.backend.service, origin, Purpose.NOT_ADMITTING),
             ]
         entry = self.flows.remove(flow)
         if entry is not None and entry.is_open and not entry.ended:
             fields = {"flow": format_flow(flow), "reason": "backend-lost-it"}
             return [LogEvent("flow-reset", fields), SendReset(segment)]
-        return [self._return_packet(segment, segment.mark.origin, Purpose.NOT_HERE)]
-
-    def _return_packet(self, segment: Segment, origin: int, purpose: Purpose) -> Forward:
-        return Forward(origin, segment, Mark(purpose, self._service_tag, origin), returned=True)
+        return [return_packet(segment, self.backend.service, segment.mark.origin, Purpose.NOT_HERE)]
 
     def _update_utilisation(self, now: float) -> None:
         slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 0
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -6,7 +6,14 @@
 import capnp
 
 from fescueseam.exceptions import MessageError
-from fescueseam.handshake.member import Availability, HeldFlows, Identity, Load, Role
+from fescueseam.handshake.member import (
+    Availability,
+    HeldFlows,
+    Identity,
+    Load,
+    Role,
+    RouteWork,
+)
 from fescueseam.handshake.notices import (
     Holding,
     HomeHandover,
@@ -129,6 +136,31 @@
     )
 
 
+def _encode_service_address(item: ServiceAddress) -> int:
+    address, port = item
+    return address << PORT_BITS | port
+
+
+def _write_work(targets: Any, items: tuple[RouteWork, ...]) -> None:
+    for target, item in zip(targets, items, strict=True):
+        target.address = _encode_service_address(item.address)
+        target.meanS = item.mean_s
+        target.deviationS = item.deviation_s
+        target.requestsPerFlow = item.requests_per_flow
+
+
+def _read_work(source: Any) -> tuple[RouteWork, ...]:
+    return tuple(
+        RouteWork(
+            _read_service_address(item.address),
+            item.meanS,
+            item.deviationS,
+            item.requestsPerFlow,
+        )
+        for item in source
+    )
+
+
 def _read_service_address(value: int) -> ServiceAddress:
     return value >> PORT_BITS, value & ((1 << PORT_BITS) - 1)
 
@@ -147,7 +179,9 @@
     load.leaving = body.load.leaving
     load.hasUnknownFlows = body.load.held.has_unknown_flows
     addresses = sorted(body.load.held.service_addresses)
-    load.heldAddresses = [address << PORT_BITS | port for address, port in addresses]
+    load.heldAddresses = [_encode_service_address(item) for item in addresses]
+    if body.load.work:
+        _write_work(load.init("work", len(body.load.work)), body.load.work)
     target.rulesVersion = body.rules_version
     target.outageRevision = body.outage.revision
     target.dataCentresOut = sorted(body.outage.data_centres)
@@ -182,6 +216,7 @@
                 frozenset(_read_service_address(item) for item in load.heldAddresses),
                 load.hasUnknownFlows,
             ),
+            _read_work(load.work),
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -58,6 +58,18 @@
 UNKNOWN_FLOWS = HeldFlows(has_unknown_flows=True)
 
 
+@frozen
+class RouteWork:
+    """What the requests of a service address take at one backend server, as learned there."""
+
+    address: ServiceAddress
+    mean_s: float
+    """Mean service time, in seconds."""
+    deviation_s: float = 0.0
+    """Mean deviation of the service time, in seconds."""
+    requests_per_flow: float = 1.0
+
+
 @frozen
 class Load:
     """Load and state of a backend server, as its agent reports them."""
@@ -77,6 +89,8 @@
     failing: float = 0.0
     """Share of the latest requests that got no answer."""
     held: HeldFlows = NO_FLOWS
+    work: tuple[RouteWork, ...] = ()
+    """Learned work of the service addresses that the backend server has served lately."""
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -6,6 +6,7 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.segments import FlowId, ServiceAddress
+from fescueseam.overload.needs import RouteNeeds
 
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 """Idle timeout of flows until a configuration states one, in seconds."""
@@ -33,6 +34,8 @@
     address: int
     port: int
     shares: tuple[RouteShare, ...]
+    needs: RouteNeeds | None = None
+    """What its callers need; None if the configuration does not state it."""
 
 
 @frozen
@@ -65,6 +68,8 @@
         raise MessageError("a number in the configuration is negative, too large or not finite")
     if not all(1 <= route.port <= MAX_PORT for route in rules.routes):
         raise MessageError("the port of a route is out of range")
+    if not all(route.needs is None or route.needs.is_valid() for route in rules.routes):
+        raise MessageError("a latency target, time limit or priority of a route is out of range")
     return rules
 
 
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -36,6 +36,14 @@
   failing @8 :Float32;
   heldAddresses @9 :List(UInt64);
   hasUnknownFlows @10 :Bool;
+  work @11 :List(RouteWork);
+}
+
+struct RouteWork {
+  address @0 :UInt64;
+  meanS @1 :Float32;
+  deviationS @2 :Float32;
+  requestsPerFlow @3 :Float32;
 }
 
 struct ColdBound {
@@ -53,6 +61,7 @@
   others @6 :List(Identity);
   asksBack @7 :Bool;
   asksMembers @8 :Bool;
+  storeEra @9 :UInt64;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -166,8 +166,10 @@
         )
         monitor = BackendMonitor(service, HEARTBEAT_INTERVAL_S, self.now, process_started_ms)
         core = Agent(Fleet(own), monitor, self.now)
-        core.rules_version = self.rules.version
-        core.cold_bounds = {item.name: item.cold_openings_per_s for item in self.rules.services}
+        core.admission.rules_version = self.rules.version
+        core.admission.cold_bounds = {
+            item.name: item.cold_openings_per_s for item in self.rules.services
+        }
         self.backends[address] = backend or self.backends.get(address) or FakeBackend(f"b{address}")
         self._add_node(address, core, own)
         self.start_heartbeats(address, sequence)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -6,7 +6,14 @@
 
 from fescueseam.exceptions import MessageError
 from fescueseam.handshake.codec import decode_notice, encode_notice
-from fescueseam.handshake.member import Availability, HeldFlows, Identity, Load, Role
+from fescueseam.handshake.member import (
+    Availability,
+    HeldFlows,
+    Identity,
+    Load,
+    Role,
+    RouteWork,
+)
 from fescueseam.handshake.notices import (
     Holding,
     HomeHandover,
@@ -23,7 +30,8 @@
 OTHER_FLOW = (0x64400008, 40002, 0xC6120001, 443)
 IDENTITY = Identity("agent-1", Role.AGENT, 0x0A010010, "a", "alerts", 77)
 HELD = HeldFlows(frozenset({(0xC6120001, 443), (0xFFFFFFFF, 65_535)}), True)
-LOAD = Load(Availability.READY, 2, 30, 5, 0.5, 0.25, True, False, 0.125, HELD)
+WORK = (RouteWork((0xC6120001, 443), 0.015625, 0.0078125, 3.0),)
+LOAD = Load(Availability.READY, 2, 30, 5, 0.5, 0.25, True, False, 0.125, HELD, WORK)
 REPORT = Report(
     IDENTITY,
     LOAD,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_containment.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_containment.py
@@ -57,9 +57,9 @@
 def test_agent_logs_no_heartbeat_age_before_the_first(cluster: Cluster) -> None:
     agent = cluster.nodes[11]
     assert isinstance(agent, Agent)
-    agent.leaving = True
+    agent.admission.leaving = True
     agent.backend.last_heard_at = float("-inf")
-    returned = agent._admit(build_opening(build_flow(3)), build_flow(3), None, cluster.now)
+    returned = agent.admission.admit(build_opening(build_flow(3)), build_flow(3), None, cluster.now)
     assert returned[0].fields["heartbeat_age_ms"] is None
 
 
@@ -122,7 +122,7 @@
     assert isinstance(agent, Agent)
     cluster.backends[home].alive = False
     segment = build_opening(build_flow(2))
-    agent._admit(segment, build_flow(2), None, cluster.now)
+    agent.admission.admit(segment, build_flow(2), None, cluster.now)
     monkeypatch.setattr(BackendMonitor, "record_unanswered_opening", fail)
     cluster.run(0.1)
     assert cluster.count_events("handler-failed") == 1
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_openings.py
@@ -5,8 +5,8 @@
 
 import math
 
-from fescueseam.handshake.balancer import STARTUP_GRACE_S
 from fescueseam.handshake.member import Availability, Identity, Role
+from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S, OPENING_ANSWER_TIMEOUT_S
 from fescueseam.handshake.rules import Outage, Route, RouteShare, Rules
 from fescueseam.handshake.tests.conftest import (
@@ -57,7 +57,7 @@
 
 def test_agents_of_a_data_centre_out_reject_openings(cluster: Cluster) -> None:
     for address in (11, 12, 13):
-        cluster.nodes[address].outage = Outage(7, frozenset({"a"}))
+        cluster.nodes[address].admission.outage = Outage(7, frozenset({"a"}))
     offer_flows(cluster, 3)
     assert [count_openings(cluster, address) for address in (11, 12, 13)] == [0, 0, 0]
     assert len(cluster.resets) == 3
@@ -75,15 +75,15 @@
 
 def test_agent_without_rules_bounds_the_openings_of_a_cold_backend(cluster: Cluster) -> None:
     for address in (11, 12, 13):
-        cluster.nodes[address].rules_version = 0
+        cluster.nodes[address].admission.rules_version = 0
         cluster.start_heartbeats(address, 50, cold_left_s=5.0)
     cluster.nodes.pop(2)
     for _ in range(20):
-        reason = cluster.nodes[11]._find_return_reason(0, cluster.now)
+        reason = cluster.nodes[11].admission.find_return_reason(0, cluster.now)
         if not reason:
             cluster.nodes[11].backend.cold_start.record_opening(cluster.now)
         cluster.run(0.01)
-    assert cluster.nodes[11]._find_return_reason(0, cluster.now) == "cold"
+    assert cluster.nodes[11].admission.find_return_reason(0, cluster.now) == "cold"
 
 
 def test_flow_goes_past_busy_backends_to_a_free_one(cluster: Cluster) -> None:
@@ -226,7 +226,7 @@
         cluster.add_agent(address, sequence=9)
     cluster.run(0.3)
     for address in (11, 12):
-        cluster.nodes[address].leaving = True
+        cluster.nodes[address].admission.leaving = True
     cluster.send(build_opening(build_flow(0), attempt=1), 1)
     cluster.run(0.03)
     assert count_openings(cluster, 13) == 1
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_overload.py
@@ -9,11 +9,11 @@
 from fescueseam.handshake import balancer as balancer_module
 from fescueseam.handshake import finder
 from fescueseam.handshake.backend import FIRST_HEARTBEAT_TIMEOUT_INTERVALS
-from fescueseam.handshake.balancer import STARTUP_GRACE_S
 from fescueseam.handshake.denials import SAME_FLOW_SEQUENCES
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.member import Availability
 from fescueseam.handshake.notices import Holding, Locate, LocateBatch, Located
+from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
 from fescueseam.handshake.openings import OFFER_TIMEOUT_S, OFFERS_LIMIT
 from fescueseam.handshake.questions import (
     BATCH_FLOWS_LIMIT,
@@ -107,7 +107,7 @@
 ) -> None:
     agent = large_cluster.nodes[AGENTS[0]]
     segment = build_opening(build_flow(0))
-    agent._admit(segment, build_flow(0), None, large_cluster.now)
+    agent.admission.admit(segment, build_flow(0), None, large_cluster.now)
     assert agent.tick(large_cluster.now + 1.0, large_cluster.now) == []
     assert agent.tick(large_cluster.now + 1.0) != []
 
