Replace the built modules in one step, and check them when read

Cause: write_bundle overwrote modules.bundle in place under processes that read it, and build.sh removed package folders before copying, so that starts beside a build ended with EOFError. Ruled out: replacing folder by folder (a start finds a package missing), a link as target/deps.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/running.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -25,18 +26,26 @@
 
 RELOADABLE_SETTINGS = ("seeds", "log_lines_per_s", "remote_penalty_s", "keys")
 """Settings that SIGHUP changes in a running process."""
+BUNDLE_PROBLEMS_LIMIT = 4
+"""Largest number of faults of the module bundle that the log names."""
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-def run_process(path: Path, platform: Platform, started_ms: int | None = None) -> None:
+def run_process(
+    path: Path,
+    platform: Platform,
+    started_ms: int | None = None,
+    bundle_problems: Sequence[str] = (),
+) -> None:
     """Run until a termination signal arrives; raise SettingsError if the settings have faults.
 
-    `started_ms` is the wall clock at the start of the process, in milliseconds.
+    `started_ms` is the wall clock at the start of the process, in milliseconds. `bundle_problems`
+    grows during imports; it says which modules were imported without the bundle, and why.
     """
     settings = load_settings(path)
     handler = configure_log(settings.instance)
     events = EventLog(settings.log_lines_per_s, handler)
-    trio.run(_run, path, settings, platform, events, started_ms)
+    trio.run(_run, path, settings, platform, events, started_ms, bundle_problems)
 
 
 async def _run(
@@ -45,6 +54,7 @@
     platform: Platform,
     events: EventLog,
     started_ms: int | None,
+    bundle_problems: Sequence[str],
 ) -> None:
     rng = random.Random()
     own = Identity(
@@ -59,6 +69,9 @@
     process = _build_process(node)
     fields = {"role": settings.role.value, "incarnation": own.incarnation}
     node.log_event("started", {**fields, "address": settings.address, "service": settings.service})
+    if bundle_problems:
+        causes = list(bundle_problems[:BUNDLE_PROBLEMS_LIMIT])
+        node.log_event("bundle-unusable", {"count": len(bundle_problems), "causes": causes})
     with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
         # The entry point may have blocked these signals during the start.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/module_bundle.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/module_bundle.py
@@ -1,9 +1,11 @@
 """Bundle of compiled modules, so that a start reads one file instead of searching for hundreds.
 
-The build writes the bundle; a process that finds none, or one of another interpreter, imports its
-modules as usual. Only standard modules that every start needs are imported here.
+The build writes the bundle; a process that finds none, or one that is damaged or of another
+interpreter, imports its modules as usual. Only standard modules that every start needs are imported
+here.
 """
 
+import _imp
 import importlib
 import marshal
 import os
@@ -14,8 +16,11 @@
 STANDARD_LIBRARY = os.path.dirname(os.__file__)
 LENGTH_BYTES = 4
 """Size of the field before the index that holds its length."""
-Entry = tuple[str, str, bool, int, int]
-"""Root and path below it, whether the module is a package, and offset and size of its code."""
+DIGEST_BYTES = 8
+"""Size of the field that holds the digest of the index."""
+Entry = tuple[str, str, bool, int, int, bytes]
+"""Root and path below it, whether the module is a package, and offset, size and digest of its
+code."""
 
 
 def get_interpreter() -> str:
@@ -23,6 +28,11 @@
     return f"{sys.implementation.cache_tag} {sys.version} {STANDARD_LIBRARY}"
 
 
+def compute_digest(data: bytes) -> bytes:
+    """Return what tells whether bytes of a bundle are as they were written."""
+    return _imp.source_hash(0, data)
+
+
 def write_bundle(path: str, names: list[str]) -> int:
     """Import modules and write all that are then loaded; return their number.
 
@@ -45,12 +55,17 @@
             continue
         code = marshal.dumps(spec.loader.get_code(name))
         is_package = spec.submodule_search_locations is not None
-        entries[name] = (root, os.path.relpath(origin, roots[root]), is_package, offset, len(code))
+        place = os.path.relpath(origin, roots[root])
+        entries[name] = (root, place, is_package, offset, len(code), compute_digest(code))
         codes.append(code)
         offset += len(code)
     index = marshal.dumps((get_interpreter(), entries))
-    with open(path, "wb") as file:
-        file.write(len(index).to_bytes(LENGTH_BYTES, "big") + index + b"".join(codes))
+    # A process may be reading the bundle that is there, so it is replaced and never overwritten.
+    new_path = f"{path}.{os.getpid()}"
+    with open(new_path, "wb") as file:
+        file.write(len(index).to_bytes(LENGTH_BYTES, "big") + compute_digest(index))
+        file.write(index + b"".join(codes))
+    os.replace(new_path, path)
     return len(entries)
 
 
@@ -64,26 +79,55 @@
         self._fd = -1
         self._entries: dict[str, Entry] = {}
         self._first_offset = 0
+        self._codes: dict[str, bytes] = {}
+        """Checked code of modules that are about to be executed."""
+        self.problems: list[str] = []
+        """Why the bundle, or parts of it, could not be used. Logging is set up later."""
 
     def start(self) -> bool:
         """Serve imports from the bundle; return whether it fits this interpreter."""
         try:
             self._fd = os.open(self._path, os.O_RDONLY)
-        except OSError:
+            self._entries = self._read_index()
+        except FileNotFoundError:
             return False
-        size = int.from_bytes(os.pread(self._fd, LENGTH_BYTES, 0), "big")
-        self._first_offset = LENGTH_BYTES + size
-        try:
-            interpreter, entries = marshal.loads(os.pread(self._fd, size, LENGTH_BYTES))
-        except (ValueError, EOFError, TypeError):
-            interpreter, entries = "", {}
-        if interpreter != get_interpreter():
+        except (OSError, ValueError) as exc:
+            self.problems.append(str(exc))
             self.close()
             return False
-        self._entries = entries
         sys.meta_path.insert(0, self)
         return True
 
+    def verify(self) -> bool:
+        """Return whether every module in a started bundle is as it was written."""
+        return self._fd >= 0 and all(self._read_code(name) is not None for name in self._entries)
+
+    def _read_index(self) -> dict[str, Entry]:
+        head_bytes = LENGTH_BYTES + DIGEST_BYTES
+        head = os.pread(self._fd, head_bytes, 0)
+        size = int.from_bytes(head[:LENGTH_BYTES], "big")
+        index = os.pread(self._fd, size, head_bytes) if len(head) == head_bytes else b""
+        if len(index) != size or compute_digest(index) != head[LENGTH_BYTES:]:
+            raise ValueError("the index is damaged")
+        interpreter, entries = marshal.loads(index)
+        if interpreter != get_interpreter():
+            raise ValueError("the bundle is of another interpreter")
+        self._first_offset = head_bytes + size
+        result: dict[str, Entry] = entries
+        return result
+
+    def _read_code(self, name: str) -> bytes | None:
+        _, _, _, offset, size, digest = self._entries[name]
+        try:
+            data = os.pread(self._fd, size, self._first_offset + offset)
+        except OSError as exc:
+            self.problems.append(f"{name}: {exc}")
+            return None
+        if compute_digest(data) != digest:
+            self.problems.append(f"{name}: its code is damaged")
+            return None
+        return data
+
     def close(self) -> None:
         """Leave further imports to the usual finders."""
         if self in sys.meta_path:
@@ -97,12 +141,15 @@
     ) -> ModuleSpec | None:
         """Return the spec of a module in the bundle, or None if it has none."""
         entry = self._entries.get(name)
-        if entry is None:
+        data = None if entry is None else self._read_code(name)
+        if entry is None or data is None:
             return None
-        root, relative_path, is_package, _, _ = entry
+        root, relative_path, is_package, _, _, _ = entry
         origin = os.path.join(self._roots[root], relative_path)
         spec = ModuleSpec(name, self, origin=origin, is_package=is_package)  # type: ignore[arg-type]
         spec.has_location = True
+        # The code that was checked is the code that is executed, whatever is written meanwhile.
+        self._codes[name] = data
         if is_package:
             spec.submodule_search_locations = [os.path.dirname(origin)]
         return spec
@@ -115,11 +162,13 @@
         exec(self.get_code(module.__name__), module.__dict__)
 
     def get_code(self, name: str) -> CodeType:
-        """Return the code of a module in the bundle."""
-        _, _, _, offset, size = self._entries[name]
-        code: CodeType = marshal.loads(os.pread(self._fd, size, self._first_offset + offset))
+        """Return the code of a module whose spec was found."""
+        code: CodeType = marshal.loads(self._codes.pop(name))
         return code
 
 
 if __name__ == "__main__":
+    if sys.argv[1] == "--check":
+        bundle = ModuleBundle(sys.argv[2])
+        sys.exit(0 if bundle.start() and bundle.verify() else 1)
     write_bundle(sys.argv[1], sys.argv[2:])
--- /dev/null
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/replace_folder.py
@@ -0,0 +1,28 @@
+"""Replacement of a folder by another in one step, so that no reader finds it missing."""
+
+import ctypes
+import os
+import sys
+
+AT_FDCWD = -100
+RENAME_EXCHANGE = 2
+
+
+def replace_folder(new: str, path: str) -> None:
+    """Put a folder in the place of another, which is then found under the name of the new one."""
+    try:
+        os.rename(new, path)
+        return
+    except OSError:
+        if not os.path.isdir(path):
+            raise
+    # A folder with content is not replaced by a rename, only exchanged.
+    libc = ctypes.CDLL(None, use_errno=True)
+    args = (AT_FDCWD, os.fsencode(new), AT_FDCWD, os.fsencode(path), RENAME_EXCHANGE)
+    if libc.renameat2(*args):
+        number = ctypes.get_errno()
+        raise OSError(number, os.strerror(number), path)
+
+
+if __name__ == "__main__":
+    replace_folder(sys.argv[1], sys.argv[2])
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_module_bundle.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_module_bundle.py
@@ -8,6 +8,7 @@
 
 from fescueseam_daemon import module_bundle
 from fescueseam_daemon.module_bundle import ModuleBundle
+from fescueseam_daemon.replace_folder import replace_folder
 
 WRITE = "import sys; from fescueseam_daemon.module_bundle import write_bundle; "
 READ = "import sys; from fescueseam_daemon.module_bundle import ModuleBundle; "
@@ -65,6 +66,7 @@
     monkeypatch.setattr(module_bundle, "get_interpreter", lambda: "another")
     bundle = ModuleBundle(str(folder / "modules"))
     assert not bundle.start()
+    assert bundle.problems == ["the bundle is of another interpreter"]
     assert bundle not in sys.meta_path
 
 
@@ -78,6 +80,72 @@
     assert bundle not in sys.meta_path
 
 
+def test_bundle_is_replaced_while_a_process_imports_from_it(folder: Path) -> None:
+    path = folder / "modules"
+    reader = ModuleBundle(str(path))
+    assert reader.start()
+    # The new bundle is of other modules, so the old offsets would lead into other code.
+    run(folder, f"{WRITE} write_bundle({str(path)!r}, ['json'])")
+    try:
+        for name in reader._entries:
+            assert reader.find_spec(name) is not None
+            reader.get_code(name)
+    finally:
+        reader.close()
+    assert reader.problems == []
+    assert [item.name for item in folder.iterdir() if item.name.startswith("modules.")] == []
+
+
+def test_processes_import_while_the_bundle_is_written_again_and_again(folder: Path) -> None:
+    path = str(folder / "modules")
+    write = f"{WRITE}[write_bundle({path!r}, ['example']) for _ in range(200)]"
+    code = f"import sys; sys.path.insert(0, {str(folder)!r}); {write}"
+    writer = subprocess.Popen([sys.executable, "-c", code])
+    try:
+        turns = 0
+        while writer.poll() is None and turns < 40:
+            start = f"{READ} b = ModuleBundle({path!r}); b.start();"
+            assert (
+                run(folder, f"{start} import example; print(example.VALUE, b.problems)") == "7 []"
+            )
+            turns += 1
+    finally:
+        writer.kill()
+        writer.wait()
+    assert turns
+
+
+def test_module_with_damaged_code_is_imported_as_usual(folder: Path) -> None:
+    path = folder / "modules"
+    content = path.read_bytes()
+    path.write_bytes(content[:-40] + b"\0" * 40)
+    start = f"{READ} b = ModuleBundle({str(path)!r}); print(b.start());"
+    everything = "[b.find_spec(name) for name in b._entries]"
+    printed = run(
+        folder, f"{start} import example; print(example.VALUE); {everything}; print(b.problems)"
+    )
+    assert printed.splitlines()[:2] == ["True", "7"]
+    assert "its code is damaged" in printed
+
+
+def test_bundle_that_is_cut_off_while_open_is_not_used_further(folder: Path) -> None:
+    path = folder / "modules"
+    cut = f"import os; os.truncate({str(path)!r}, 60);"
+    start = f"{READ} b = ModuleBundle({str(path)!r}); b.start(); {cut}"
+    printed = run(folder, f"{start} import example; print(example.VALUE, bool(b.problems))")
+    assert printed == "7 True"
+
+
+def test_folder_is_replaced_in_one_step(tmp_path: Path) -> None:
+    for name in ("new", "old"):
+        (tmp_path / name).mkdir()
+        (tmp_path / name / "content").write_text(name)
+    replace_folder(str(tmp_path / "new"), str(tmp_path / "first"))
+    replace_folder(str(tmp_path / "old"), str(tmp_path / "first"))
+    assert (tmp_path / "first" / "content").read_text() == "old"
+    assert (tmp_path / "old" / "content").read_text() == "new"
+
+
 @pytest.mark.parametrize(
     ("imports", "children"),
     [
