Take servers for cold after the return of their data centre

Ruled out: asking the server (a slot, and no cold time), distrust of each new revision (it grows with each watch). Change: where a service has a cold bound, its server counts as cold until a heartbeat made after the return, after the first report heard for 4 s, and while the heartbeat is overdue; Load.cold says so. Run: test_cold_return.py (6 of 9 fail before, all pass), handshake tests pass.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -175,15 +175,9 @@
             self.admission.rules_version = body.rules_version
             self.admission.cold_bounds = dict(body.cold_bounds)
             effects.append(LogEvent("rules-taken", {"config": body.rules_version}))
-        if body.outage.revision > self.admission.outage.revision:
-            previous = self.admission.outage.data_centres
-            self.admission.outage = body.outage
-            if previous != body.outage.data_centres:
-                fields = {
-                    "out": sorted(body.outage.data_centres),
-                    "revision": body.outage.revision,
-                }
-                effects.append(LogEvent("outage-taken", fields))
+        if self.admission.take_outage(body.outage, now):
+            fields = {"out": sorted(body.outage.data_centres), "revision": body.outage.revision}
+            effects.append(LogEvent("outage-taken", fields))
         return effects
 
     def has_pending_work(self) -> bool:
@@ -213,7 +207,7 @@
             utilisation=self.averages.utilisation,
             service_time_s=self.averages.service_time_s,
             failing=self.failures.compute_failing_share(stuck, now),
-            cold=self.backend.cold_start.is_cold(now),
+            cold=self.admission.may_be_cold(now),
             leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
         )
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -16,6 +16,9 @@
 FIRST_HEARTBEAT_TIMEOUT_INTERVALS = 2.0
 """Number of intervals to wait for the first heartbeat. A running backend server sends one per
 interval."""
+HEARTBEAT_OVERDUE_INTERVALS = 2.0
+"""Number of intervals without a heartbeat after which it is not known whether the backend server
+is cold: another start may run, whose heartbeats were lost."""
 MIN_RESTART_DELAY_S = 0.25
 """Shortest time between the end of an agent's process and the start of the next one on its machine,
 in seconds."""
@@ -146,6 +149,11 @@
         """Return the age of the last heartbeat in milliseconds; None before the first."""
         return compute_age_ms(self.last_heard_at, now)
 
+    def is_cold_state_known(self, now: float) -> bool:
+        """Return whether the newest heartbeat tells if the backend server is cold now."""
+        overdue_s = HEARTBEAT_OVERDUE_INTERVALS * self.heartbeat_interval_s
+        return self.cold_start.is_verified and now - self.last_heard_at <= overdue_s
+
     def record_packet(self) -> None:
         """Record a packet from the backend server."""
         self.unanswered_openings = 0
--- a/packages/fescueseam/src/fescueseam/handshake/cold_start.py
+++ b/packages/fescueseam/src/fescueseam/handshake/cold_start.py
@@ -1,5 +1,6 @@
 """Rate limit for the openings of a cold backend server."""
 
+import math
 from collections import deque
 
 from attrs import define, field
@@ -12,6 +13,8 @@
 COLD_TIME_MARGIN_S = 0.3
 """Time by which the cold phase is extended beyond the reported end, in seconds: the backend server
 measures the time left itself, and its heartbeat arrives with a delay."""
+HEARTBEAT_DELAY_S = 0.1
+"""Time between the making of a heartbeat and its arrival that is allowed for, in seconds."""
 
 
 @define
@@ -19,11 +22,24 @@
     """Limits how many openings per second one backend server gets while it is cold."""
 
     cold_until: float = 0.0
+    _unverified_since: float = -math.inf
+    """Time since which only a heartbeat made later tells whether the backend server is cold."""
     _openings: deque[float] = field(factory=deque)
 
     def update_cold_time(self, cold_left_s: float, now: float) -> None:
         """Set the end of the cold phase from the time left that a heartbeat names."""
         self.cold_until = now + cold_left_s + COLD_TIME_MARGIN_S if cold_left_s > 0 else 0.0
+        if now >= self._unverified_since + HEARTBEAT_DELAY_S:
+            self._unverified_since = -math.inf
+
+    def require_heartbeat(self, now: float) -> None:
+        """Treat the backend server as cold until a heartbeat that was made after this."""
+        self._unverified_since = now
+
+    @property
+    def is_verified(self) -> bool:
+        """Whether the newest heartbeat tells if the backend server is cold."""
+        return self._unverified_since == -math.inf
 
     def is_cold(self, now: float) -> bool:
         """Return whether the backend server is cold."""
--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -1,5 +1,6 @@
 """Admission of opening packets by an agent, and its wait for the backend server's answer."""
 
+import math
 from collections import OrderedDict
 from functools import partial
 
@@ -30,6 +31,9 @@
 REASON_BUSY = "busy"
 """Reason for returning an opening packet while all slots are busy: the only reason that usually
 ends within a service time."""
+OUTAGE_SILENCE_S = 4.0
+"""Time without a balancer's report after which the agent may have missed that its data centre was
+taken out and back, in seconds."""
 
 
 def return_packet(segment: Segment, service: str, origin: int, purpose: Purpose) -> Forward:
@@ -50,6 +54,8 @@
     """Largest number of openings per second for a cold backend server, by service."""
     rules_version: int = 0
     leaving: bool = False
+    _outage_heard_at: float = -math.inf
+    """Time at which a balancer last reported an outage, or that there is none."""
     _delivered: OrderedDict[FlowId, DeliveredOpening] = field(factory=OrderedDict)
     """Openings that await the backend server's answer, in the order of delivery."""
 
@@ -126,6 +132,31 @@
             ),
         ]
 
+    def may_be_cold(self, now: float) -> bool:
+        """Return whether the backend server is cold or, if its service has a bound, may be."""
+        if self.backend.cold_start.is_cold(now):
+            return True
+        bound = self.cold_bounds.get(self.backend.service, 0.0)
+        was_heard = self.backend.last_heartbeat is not None
+        return bound > 0 and was_heard and not self.backend.is_cold_state_known(now)
+
+    def take_outage(self, outage: Outage, now: float) -> bool:
+        """Take an outage if it is newer; return whether the data centres out have changed.
+
+        The backend servers of a data centre may have become cold shortly before it is taken back.
+        """
+        is_unsure = now - self._outage_heard_at > OUTAGE_SILENCE_S
+        if outage.revision > 0:
+            self._outage_heard_at = now
+        if outage.revision <= self.outage.revision:
+            return False
+        previous = self.outage.data_centres
+        self.outage = outage
+        was_out = self.own.data_centre in previous
+        if (was_out or is_unsure) and self.own.data_centre not in outage.data_centres:
+            self.backend.cold_start.require_heartbeat(now)
+        return previous != outage.data_centres
+
     def find_return_reason(self, purpose: Purpose, now: float) -> str:
         """Return why an opening is not admitted now; empty if it is."""
         availability = self.backend.compute_availability(now)
@@ -139,7 +170,9 @@
         bound = self.cold_bounds.get(self.backend.service, 0.0)
         state_known = self.rules_version > 0 and heartbeat is not None
         if not self.backend.cold_start.can_admit(
-            bound if state_known else FALLBACK_OPENINGS_PER_S, now, state_known
+            bound if state_known else FALLBACK_OPENINGS_PER_S,
+            now,
+            state_known and self.backend.is_cold_state_known(now),
         ):
             return "cold"
         slots = heartbeat.slots if heartbeat is not None else 1
