Take a flow for open once its caller has ended the handshake

Ruled out: a longer time for half-open flows (a flood fills the table), any packet of the caller as the end (several servers may have answered). Change: the acknowledgement of this server's answer opens the flow; the full table evicts ended, then half-open flows.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -100,12 +100,11 @@
             if segment.resets:
                 return effects
             entry = self.flows.add(flow, now)
-            entry.is_open = not segment.opens
         if entry.probe_origin:
             effects.append(SendNotice(entry.probe_origin, Located(flow, Holding.YES)))
             entry.probe_origin = 0
         if not segment.opens:
-            entry.is_open = True
+            self.flows.mark_open(flow, entry)
         self._update_utilisation(now)
         end = self.flows.record_backend_packet(flow, entry, segment, now)
         if end is not None:
@@ -121,7 +120,7 @@
             }
             effects.append(LogEvent("request-unanswered", fields))
         if segment.resets:
-            entry.caller_finished = entry.server_finished = True
+            self.flows.mark_ended(flow, entry)
         return effects
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -32,7 +32,8 @@
     opened_at: float
     last_packet_at: float
     is_open: bool = False
-    """Whether the backend server has sent a packet after its handshake answer."""
+    """Whether the caller has ended the handshake, or the backend server has sent a packet after its
+    part of it. Set by the table."""
     answered: bool = False
     """Whether the backend server has sent a packet."""
     pending_request_at: float | None = None
@@ -60,6 +61,18 @@
             return segment.data_bytes > 0 or (segment.finishes and not segment.opens)
         return not segment.opens
 
+    def is_handshake_end(self, segment: Segment) -> bool:
+        """Return whether a caller's packet acknowledges the handshake answer of this server.
+
+        Several servers may have answered; the flow opens at the one whose answer is acknowledged.
+        """
+        return (
+            not self.is_open
+            and segment.acknowledges
+            and not segment.resets
+            and segment.acknowledgement == self.next_server_sequence
+        )
+
     @property
     def ended(self) -> bool:
         """Whether both ends have finished."""
@@ -81,6 +94,10 @@
     flows: OrderedDict[FlowId, Flow] = field(factory=OrderedDict)
     busy: int = 0
     """Number of flows with a pending request."""
+    _half_open: OrderedDict[FlowId, None] = field(factory=OrderedDict)
+    """Flows that are not open, the oldest first."""
+    _ended: OrderedDict[FlowId, None] = field(factory=OrderedDict)
+    """Flows that have ended, in the order of their ends."""
     _flows_by_address: Counter[ServiceAddress] = field(factory=Counter)
 
     def find(self, flow: FlowId) -> Flow | None:
@@ -88,19 +105,33 @@
         return self.flows.get(flow)
 
     def add(self, flow: FlowId, now: float) -> Flow:
-        """Add a flow; evict the least recently used one if the table is full."""
+        """Add a flow; if the table is full, evict an ended, a half-open or the least used one."""
         if len(self.flows) >= FLOWS_LIMIT:
-            self.remove(next(iter(self.flows)))
+            self.remove(next(iter(self._ended or self._half_open or self.flows)))
         if flow not in self.flows:
             self._flows_by_address[flow[2:]] += 1
         entry = self.flows[flow] = Flow(now, now)
+        self._half_open[flow] = None
+        self._ended.pop(flow, None)
         return entry
 
+    def mark_open(self, flow: FlowId, entry: Flow) -> None:
+        """Keep a flow until it ends or was idle for the idle timeout."""
+        entry.is_open = True
+        self._half_open.pop(flow, None)
+
+    def mark_ended(self, flow: FlowId, entry: Flow) -> None:
+        """Record that both ends of a flow have finished."""
+        entry.caller_finished = entry.server_finished = True
+        self._ended[flow] = None
+
     def remove(self, flow: FlowId) -> Flow | None:
         """Remove a flow and return it, or None if it is not in the table."""
         entry = self.flows.pop(flow, None)
         if entry is None:
             return None
+        self._half_open.pop(flow, None)
+        self._ended.pop(flow, None)
         if entry.pending_request_at is not None:
             self.busy -= 1
         self._flows_by_address[flow[2:]] -= 1
@@ -122,8 +153,12 @@
         """Record a packet from the caller to the backend server."""
         entry.last_packet_at = now
         self.flows.move_to_end(flow)
+        if entry.is_handshake_end(segment):
+            self.mark_open(flow, entry)
         if segment.finishes:
             entry.caller_finished = True
+            if entry.ended:
+                self.mark_ended(flow, entry)
         if segment.data_bytes == 0 or entry.probe_origin:
             # Until the backend server answers a probe, it is not known whether it holds the flow.
             return
@@ -150,6 +185,8 @@
         self.flows.move_to_end(flow)
         if segment.finishes:
             entry.server_finished = True
+            if entry.ended:
+                self.mark_ended(flow, entry)
         follows_new_data = entry.advance_server_sequence(segment)
         ends_request = follows_new_data or segment.resets or segment.finishes
         if entry.pending_request_at is None or not ends_request:
