Tell starts of a server apart by what is seen, and deny flows on evidence

Ruled out: order by born alone (the clock may step), UNSURE wherever the start was not seen (each dead flow is probed after a loss of power, see recovery-at-size.md; its tests pass unchanged). Change: a start that looks older or was displaced needs 1.5 silent intervals of the one in force; flows are denied only if the agent has run since the server's start, for all starts heard lately; packets overrule a refused connection.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -76,7 +76,7 @@
             if segment.resets:
                 self.flows.remove(flow)
             return [Deliver(segment)]
-        is_unsure = segment.mark.purpose is Purpose.PROBE or not self.backend.knows_all_flows
+        is_unsure = segment.mark.purpose is Purpose.PROBE or not self.backend.may_deny_flows(now)
         if is_unsure and not self.backend.is_missing(now):
             entry = self.flows.add(flow, now)
             entry.probe_origin = segment.mark.origin
@@ -253,6 +253,7 @@
         Packets that arrived after `heard_until`, by default now, may not have been read yet.
         """
         effects: Effects = []
+        self.backend.record_running(now)
         heard_until = now if heard_until is None else heard_until
         effects += self.admission.handle_overdue_openings(now, heard_until)
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
@@ -265,7 +266,7 @@
         if service != self.backend.service:
             return Holding.NO
         if entry is None or entry.probe_origin:
-            is_certain = self.backend.knows_all_flows or self.backend.is_missing(now)
+            is_certain = self.backend.may_deny_flows(now) or self.backend.is_missing(now)
             return Holding.NO if is_certain else Holding.UNSURE
         if entry.is_open:
             return Holding.YES
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -9,8 +9,14 @@
 from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S
 from fescueseam.handshake.member import Availability, compute_age_ms
 
-PREVIOUS_STARTS_LIMIT = 16
-"""Largest number of previous starts that are remembered to recognise their delayed heartbeats."""
+OTHER_STARTS_LIMIT = 16
+"""Largest number of starts that are remembered besides the one in force."""
+SILENT_START_INTERVALS = 1.5
+"""Number of intervals without a heartbeat of the start in force after which one that looks older,
+or that was displaced, takes its place: a backend server that lives goes on sending."""
+WATCH_GAP_S = 1.0
+"""Time without a sign that this process runs after which it may have missed heartbeats, in
+seconds."""
 HEARTBEAT_TIMEOUT_INTERVALS = 3.5
 """Number of intervals without a heartbeat after which the backend server counts as absent."""
 FIRST_HEARTBEAT_TIMEOUT_INTERVALS = 2.0
@@ -32,8 +38,8 @@
 
     name: str
     started_ms: int
-    """Wall clock at the start of the backend server, in milliseconds. It identifies the start, but
-    starts are not ordered by it, as the clock may be set back."""
+    """Wall clock at the start of the backend server, in milliseconds. It identifies the start. The
+    clock may be set: an order by it only decides how soon a start is taken for the newest."""
     sequence: int
     service: str
     availability: Availability
@@ -49,11 +55,30 @@
     NEW_START = "started"
     """Accepted as the first heartbeat of another start."""
     STALE = "late"
-    """Ignored: it is out of order, or of a previous or an unconfirmed start."""
+    """Ignored: it is out of order, or of a start that does not seem to be the living one."""
     WRONG_SERVICE = "foreign"
     """Ignored: it names another service."""
 
 
+Start = tuple[str, int]
+"""Name and start time of a backend server, which together identify one start of it."""
+
+
+@frozen
+class KnownStart:
+    """What is known of a start that is not in force."""
+
+    sequence: int
+    heard_at: float
+    knows_all_flows: bool
+    """Whether the agent has seen every flow since it started."""
+
+
+def get_start(heartbeat: Heartbeat) -> Start:
+    """Return what identifies the start that sent a heartbeat."""
+    return heartbeat.name, heartbeat.started_ms
+
+
 @define
 class BackendMonitor:
     """Newest heartbeat and availability of one backend server."""
@@ -69,40 +94,72 @@
     """Time of the last accepted heartbeat or deregistration."""
     availability: Availability = Availability.UNKNOWN
     knows_all_flows: bool = False
-    """Whether the agent has seen every flow since the backend server started."""
+    """Whether the agent has seen every flow since the start in force."""
     unanswered_openings: int = 0
     """Opening packets that timed out since the last packet or heartbeat of the backend server."""
     cold_start: ColdStartLimiter = field(factory=ColdStartLimiter)
-    _previous_starts: list[tuple[str, int]] = field(factory=list)
+    _other_starts: dict[Start, KnownStart] = field(factory=dict)
+    """Starts that were heard and are not in force, the one heard last at the end."""
+    _displaced: set[Start] = field(factory=set)
+    """Those of them that were in force before."""
+    _has_sent_packet: bool = False
+    """Whether the backend server has sent a packet since this process started."""
+    _watched_since: float | None = None
+    """Time since which no heartbeat can have been missed; None if it is `listening_since`."""
+    _last_running_at: float | None = None
+    """Time of the last sign that this process runs; None before the first."""
     _is_absence_noticed: bool = False
     _refuses_connections: bool = False
     """Whether nothing listened at the backend server's address when this was last checked."""
-    _unconfirmed: Heartbeat | None = None
-    """Newest heartbeat of a start that looks older than the current one."""
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeartbeatOutcome:
         """Record a heartbeat and return its outcome."""
         if heartbeat.service != self.service:
             return HeartbeatOutcome.WRONG_SERVICE
-        start = (heartbeat.name, heartbeat.started_ms)
-        last = self.last_heartbeat
-        if start in self._previous_starts:
-            return HeartbeatOutcome.STALE
-        if last is not None and start == (last.name, last.started_ms):
+        if self._last_running_at is not None:
+            self.record_running(now)
+        start, last = get_start(heartbeat), self.last_heartbeat
+        if last is not None and start == get_start(last):
             if heartbeat.sequence <= last.sequence:
                 return HeartbeatOutcome.STALE
             return self._accept(heartbeat, HeartbeatOutcome.ACCEPTED, now)
-        if last is not None and self._is_unconfirmed(heartbeat, last, now):
-            self._unconfirmed = heartbeat
+        known = self._other_starts.get(start)
+        if known is not None and heartbeat.sequence <= known.sequence:
+            return HeartbeatOutcome.STALE
+        knows_all = self._saw_start(heartbeat, now) if known is None else known.knows_all_flows
+        if last is not None and not self._takes_over(heartbeat, last, known, now):
+            self._remember(start, KnownStart(heartbeat.sequence, now, knows_all))
             return HeartbeatOutcome.STALE
+        cold_until = self.cold_start.cold_until
         if last is not None:
-            self._previous_starts.append((last.name, last.started_ms))
-            del self._previous_starts[:-PREVIOUS_STARTS_LIMIT]
-        # This process saw the start if it knows the previous one or gets the first heartbeat.
-        self.knows_all_flows = (
-            last is not None or heartbeat.sequence <= 1 or self._started_after_agents(heartbeat)
+            previous = KnownStart(last.sequence, self.last_heard_at, self.knows_all_flows)
+            self._remember(get_start(last), previous)
+            self._displaced.add(get_start(last))
+        self._other_starts.pop(start, None)
+        self._displaced.discard(start)
+        self.knows_all_flows = knows_all
+        outcome = self._accept(heartbeat, HeartbeatOutcome.NEW_START, now)
+        # The previous start may yet turn out to be the living one.
+        self.cold_start.cold_until = max(cold_until, self.cold_start.cold_until)
+        return outcome
+
+    def record_running(self, now: float) -> None:
+        """Record that this process runs; after a gap it may have missed heartbeats."""
+        if self._last_running_at is not None and now - self._last_running_at > WATCH_GAP_S:
+            self._watched_since = now
+        self._last_running_at = now
+
+    def may_deny_flows(self, now: float) -> bool:
+        """Return whether a flow that the agent has not seen is unknown to its backend server too.
+
+        While it is open which start lives, this must hold for all that were heard lately.
+        """
+        recent_s = HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s
+        return self.knows_all_flows and all(
+            item.knows_all_flows
+            for item in self._other_starts.values()
+            if now - item.heard_at < recent_s
         )
-        return self._accept(heartbeat, HeartbeatOutcome.NEW_START, now)
 
     def is_first_heartbeat_overdue(self, now: float) -> bool:
         """Return whether the first heartbeat has not arrived within its timeout."""
@@ -117,10 +174,10 @@
         self._refuses_connections = True
 
     def is_missing(self, now: float) -> bool:
-        """Return whether no backend server has run since this process started."""
-        return self.is_first_heartbeat_overdue(now) or (
-            self.last_heartbeat is None and self._refuses_connections
-        )
+        """Return whether no backend server seems to have run since this process started."""
+        if self.last_heartbeat is not None or self._has_sent_packet:
+            return False
+        return self.is_first_heartbeat_overdue(now) or self._refuses_connections
 
     def may_hold_unknown_flows(self, now: float) -> bool:
         """Return whether the backend server may hold flows that the agent has not seen.
@@ -128,7 +185,7 @@
         After a time, each flow that was not seen has been idle for too long to count.
         """
         is_recent = now - self.listening_since < IDLE_FLOW_TIMEOUT_S
-        return is_recent and not self.knows_all_flows and not self.is_missing(now)
+        return is_recent and not self.may_deny_flows(now) and not self.is_missing(now)
 
     def notice_absence(self, now: float) -> bool:
         """Return True once, as soon as the backend server is known to be missing."""
@@ -157,7 +214,7 @@
     def record_packet(self) -> None:
         """Record a packet from the backend server."""
         self.unanswered_openings = 0
-        self._refuses_connections = False
+        self._has_sent_packet = True
 
     def record_unanswered_opening(self) -> None:
         """Record an opening packet that was not answered in time."""
@@ -179,25 +236,40 @@
             return Availability.ABSENT
         return Availability.READY
 
-    def _started_after_agents(self, heartbeat: Heartbeat) -> bool:
-        # All packets to a backend server pass its agent. One that started when every earlier
-        # process of the agent had ended, as after a loss of power, has no flow unknown to this one.
+    def _saw_start(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Return whether this process has run since the start of a start heard for the first time.
+
+        All packets to a backend server pass its agent, so this process has then seen every flow.
+        """
+        watched_since = self.listening_since if self._watched_since is None else self._watched_since
+        waited_s = now - watched_since
+        if waited_s > FIRST_HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s:
+            # It would have been heard before if it had run then.
+            return True
+        # One that started when every earlier process of the agent had ended, as after a loss of
+        # power, has no flow unknown to this one.
         if self.process_started_ms is None:
             return False
         return heartbeat.started_ms > self.process_started_ms - 1000 * MIN_RESTART_DELAY_S
 
-    def _is_unconfirmed(self, heartbeat: Heartbeat, last: Heartbeat, now: float) -> bool:
-        # An older start time means a delayed heartbeat of a previous start, or a new start after
-        # the clock was set back. A delayed heartbeat comes once, while the current start goes on
-        # sending.
-        recently_heard = now - self.last_heard_at < 1.5 * self.heartbeat_interval_s
-        confirmed = (
-            self._unconfirmed is not None
-            and (self._unconfirmed.name, self._unconfirmed.started_ms)
-            == (heartbeat.name, heartbeat.started_ms)
-            and heartbeat.sequence > self._unconfirmed.sequence
-        )
-        return heartbeat.started_ms < last.started_ms and recently_heard and not confirmed
+    def _takes_over(
+        self, heartbeat: Heartbeat, last: Heartbeat, known: KnownStart | None, now: float
+    ) -> bool:
+        # Delayed heartbeats of a start that has ended come while the living one goes on sending.
+        silence_s = now - self.last_heard_at
+        if silence_s >= SILENT_START_INTERVALS * self.heartbeat_interval_s:
+            # One that was displaced must also show that it goes on, by a second heartbeat.
+            is_displaced = get_start(heartbeat) in self._displaced
+            return not is_displaced or (known is not None and known.heard_at > self.last_heard_at)
+        return known is None and heartbeat.started_ms >= last.started_ms
+
+    def _remember(self, start: Start, known: KnownStart) -> None:
+        self._other_starts.pop(start, None)
+        self._other_starts[start] = known
+        if len(self._other_starts) > OTHER_STARTS_LIMIT:
+            oldest = next(iter(self._other_starts))
+            del self._other_starts[oldest]
+            self._displaced.discard(oldest)
 
     def _accept(
         self, heartbeat: Heartbeat, outcome: HeartbeatOutcome, now: float
@@ -206,6 +278,5 @@
         self.last_heard_at = now
         self.availability = heartbeat.availability
         self.unanswered_openings = 0
-        self._unconfirmed = None
         self.cold_start.update_cold_time(heartbeat.cold_left_s, now)
         return outcome
