Keep searches on returns from unknown addresses, ask agents that had a server

Causes, read by the review: the name "" of an unknown sender equals an unset probe_target, so that its return ended a search without a question; has_reported_backend went by the last report, so that a restarted agent whose next reports are lost was left out of searches. Run: two new tests of test_searches.py fail before (flow reset) and pass; handshake tests pass.

--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -115,7 +115,7 @@
     def handle_returned_packet(self, flow: FlowId, agent_name: str, now: float) -> Effects:
         """Handle the return of the packet with which an agent was probed."""
         search = self.searches[flow]
-        if search.probe_target != agent_name:
+        if not search.probe_target or search.probe_target != agent_name:
             return []
         search.probe_target = ""
         search.answers[agent_name] = Holding.NO
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -131,8 +131,12 @@
         return compute_age_ms(self.last_heard_at, now)
 
     def has_reported_backend(self) -> bool:
-        """Return whether its last report says that it knows a backend server."""
-        return self.last_heard_at != -math.inf and not self.is_without_backend()
+        """Return whether it has reported a backend server, and not that this has left.
+
+        A report after a restart of the agent does not know the server yet.
+        """
+        has_left = self.load.availability is Availability.LEFT
+        return self.last_heard_at != -math.inf and self.had_backend and not has_left
 
 
 def compute_age_ms(heard_at: float, now: float) -> int | None:
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_searches.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_searches.py
@@ -4,8 +4,10 @@
 """
 
 import pytest
+from attrs import evolve
 
-from fescueseam.handshake.tests.conftest import Cluster, build_flow, build_opening
+from fescueseam.handshake.member import Availability, Load
+from fescueseam.handshake.tests.conftest import Cluster, build_flow, build_opening, build_segment
 
 AGENTS = tuple(range(11, 31))
 FLOWS = 40
@@ -91,3 +93,37 @@
     large_cluster.send(build_opening(flow, attempt=1), 1)
     large_cluster.run(0.1)
     assert sum(flow in backend.flows for backend in large_cluster.backends.values()) == 1
+
+
+def test_return_from_an_unknown_address_ends_no_search(cluster: Cluster) -> None:
+    flow = build_flow(0)
+    cluster.open(flow, 1)
+    cluster.nodes[2].homes.clear()
+    balancer = cluster.add_balancer(1)
+    cluster.run(0.5)
+    balancer.handle_packet(build_segment(flow, data_bytes=100), cluster.now)
+    assert balancer.searches[flow].pending_hints
+    returned = build_segment(flow, returned=True)
+    assert balancer.handle_returned_packet(returned, 999, cluster.now) == []
+    assert flow in balancer.searches
+    cluster.request(flow, 1)
+    cluster.run(1.0)
+    assert cluster.resets == []
+
+
+def test_silent_agent_that_had_a_server_before_its_restart_is_asked(cluster: Cluster) -> None:
+    flow = build_flow(0)
+    cluster.open(flow, 1)
+    home = cluster.find_home(flow)
+    balancer, agent = cluster.nodes[2], cluster.nodes[home]
+    identity = evolve(agent.fleet.own, incarnation=agent.fleet.own.incarnation + 1)
+    balancer.fleet.record_report(identity, Load(Availability.UNKNOWN), 1, cluster.now)
+    cluster.lost_reports.add((home, 2))
+    for node in (1, 2):
+        cluster.nodes[node].homes.clear()
+    cluster.run(10.0)
+    assert balancer.fleet.is_unreachable(balancer.fleet.find(identity.name), cluster.now)
+    cluster.request(flow, 2)
+    cluster.run(1.0)
+    assert cluster.resets == []
+    assert cluster.backends[home].served == 1
