--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PACKAGES := packages/fescueseam packages/fescueseam-daemon packages/fescueseam-cli packages/fescueseam-standins
 SOURCES := $(wildcard packages/*/src) platform
 
-.PHONY: install format lint types test demo measure capacity soak clean
+.PHONY: install format lint types test demo measure capacity soak review clean
 
 $(VENV)/installed: requirements/lock.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -45,5 +45,8 @@
 	SEED=$(SEED) SOAK=1 $(BIN)/pytest -k soak
 	cd platform && ../$(BIN)/python -m fescueseam_platform.tests.soak --first $(SEED) --count $(SOAK_SEEDS) --shards 2
 
+review:
+	.ci/review
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
