End an agent's doubt about unseen flows after the idle timeout

An agent answered UNSURE for as long as it lived, though after 60 s without a gap each flow that it has not seen was idle for too long. A start that follows one that has left is in force at once. That a start would have been heard before counts only if another was heard: a server that is frozen at the start of its agent is heard late, too.

--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -152,8 +152,11 @@
     def may_deny_flows(self, now: float) -> bool:
         """Return whether a flow that the agent has not seen is unknown to its backend server too.
 
-        While it is open which start lives, this must hold for all that were heard lately.
+        While it is open which start lives, this must hold for all that were heard lately. After a
+        time each flow that was not seen has been idle for too long to count.
         """
+        if now - self._get_watched_since() >= IDLE_FLOW_TIMEOUT_S:
+            return True
         recent_s = HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s
         return self.knows_all_flows and all(
             item.knows_all_flows
@@ -180,12 +183,8 @@
         return self.is_first_heartbeat_overdue(now) or self._refuses_connections
 
     def may_hold_unknown_flows(self, now: float) -> bool:
-        """Return whether the backend server may hold flows that the agent has not seen.
-
-        After a time, each flow that was not seen has been idle for too long to count.
-        """
-        is_recent = now - self.listening_since < IDLE_FLOW_TIMEOUT_S
-        return is_recent and not self.may_deny_flows(now) and not self.is_missing(now)
+        """Return whether the backend server may hold flows that the agent has not seen."""
+        return not self.may_deny_flows(now) and not self.is_missing(now)
 
     def notice_absence(self, now: float) -> bool:
         """Return True once, as soon as the backend server is known to be missing."""
@@ -236,15 +235,18 @@
             return Availability.ABSENT
         return Availability.READY
 
+    def _get_watched_since(self) -> float:
+        return self.listening_since if self._watched_since is None else self._watched_since
+
     def _saw_start(self, heartbeat: Heartbeat, now: float) -> bool:
         """Return whether this process has run since the start of a start heard for the first time.
 
         All packets to a backend server pass its agent, so this process has then seen every flow.
         """
-        watched_since = self.listening_since if self._watched_since is None else self._watched_since
-        waited_s = now - watched_since
-        if waited_s > FIRST_HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s:
-            # It would have been heard before if it had run then.
+        waited_s = now - self._get_watched_since()
+        overdue_s = FIRST_HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_interval_s
+        if self.last_heartbeat is not None and waited_s > overdue_s:
+            # Another start was heard, and this one would have been before if it had run then.
             return True
         # One that started when every earlier process of the agent had ended, as after a loss of
         # power, has no flow unknown to this one.
@@ -257,7 +259,8 @@
     ) -> bool:
         # Delayed heartbeats of a start that has ended come while the living one goes on sending.
         silence_s = now - self.last_heard_at
-        if silence_s >= SILENT_START_INTERVALS * self.heartbeat_interval_s:
+        is_silent = silence_s >= SILENT_START_INTERVALS * self.heartbeat_interval_s
+        if is_silent or self.availability is Availability.LEFT:
             # One that was displaced must also show that it goes on, by a second heartbeat.
             is_displaced = get_start(heartbeat) in self._displaced
             return not is_displaced or (known is not None and known.heard_at > self.last_heard_at)
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_starts.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_starts.py
@@ -10,6 +10,7 @@
     Heartbeat,
     HeartbeatOutcome,
 )
+from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S
 from fescueseam.handshake.member import Availability, Identity, Role
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.notices import Holding
@@ -124,9 +125,18 @@
 
 
 def test_agent_that_was_frozen_may_have_missed_heartbeats(monitor: BackendMonitor) -> None:
-    monitor.record_running(10.1)
+    assert beat(monitor, ENDED, 0, 10.1)
+    monitor.record_running(10.2)
     assert beat(monitor, LIVING, 0, 14.0)
-    assert not monitor.may_deny_flows(14.1)
+    assert not monitor.knows_all_flows
+    assert not monitor.may_deny_flows(68.0)
+    assert monitor.may_deny_flows(14.0 + IDLE_FLOW_TIMEOUT_S)
+
+
+def test_start_after_one_that_has_left_is_in_force_at_once(monitor: BackendMonitor) -> None:
+    assert beat(monitor, LIVING, 0, 10.3)
+    assert monitor.record_deregistration(LIVING.name, 10.4)
+    assert beat(monitor, ENDED, 0, 10.5)
 
 
 def test_packet_before_a_refused_connection_shows_that_the_server_runs(
