--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -76,7 +76,7 @@
             if segment.resets:
                 self.flows.remove(flow)
             return [Deliver(segment)]
-        is_unsure = segment.mark.purpose is Purpose.PROBE or not self.backend.knows_all_flows
+        is_unsure = segment.mark.purpose is Purpose.PROBE or not self.backend.may_deny_flows(now)
         if is_unsure and not self.backend.is_missing(now):
             entry = self.flows.add(flow, now)
             entry.probe_origin = segment.mark.origin
@@ -100,12 +100,11 @@
             if segment.resets:
                 return effects
             entry = self.flows.add(flow, now)
-            entry.is_open = not segment.opens
         if entry.probe_origin:
             effects.append(SendNotice(entry.probe_origin, Located(flow, Holding.YES)))
             entry.probe_origin = 0
         if not segment.opens:
-            entry.is_open = True
+            self.flows.mark_open(flow, entry)
         self._update_utilisation(now)
         end = self.flows.record_backend_packet(flow, entry, segment, now)
         if end is not None:
@@ -121,7 +120,7 @@
             }
             effects.append(LogEvent("request-unanswered", fields))
         if segment.resets:
-            entry.caller_finished = entry.server_finished = True
+            self.flows.mark_ended(flow, entry)
         return effects
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
@@ -175,15 +174,9 @@
             self.admission.rules_version = body.rules_version
             self.admission.cold_bounds = dict(body.cold_bounds)
             effects.append(LogEvent("rules-taken", {"config": body.rules_version}))
-        if body.outage.revision > self.admission.outage.revision:
-            previous = self.admission.outage.data_centres
-            self.admission.outage = body.outage
-            if previous != body.outage.data_centres:
-                fields = {
-                    "out": sorted(body.outage.data_centres),
-                    "revision": body.outage.revision,
-                }
-                effects.append(LogEvent("outage-taken", fields))
+        if self.admission.take_outage(body.outage, now):
+            fields = {"out": sorted(body.outage.data_centres), "revision": body.outage.revision}
+            effects.append(LogEvent("outage-taken", fields))
         return effects
 
     def has_pending_work(self) -> bool:
@@ -213,7 +206,7 @@
             utilisation=self.averages.utilisation,
             service_time_s=self.averages.service_time_s,
             failing=self.failures.compute_failing_share(stuck, now),
-            cold=self.backend.cold_start.is_cold(now),
+            cold=self.admission.may_be_cold(now),
             leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
         )
@@ -260,6 +253,7 @@
         Packets that arrived after `heard_until`, by default now, may not have been read yet.
         """
         effects: Effects = []
+        self.backend.record_running(now)
         heard_until = now if heard_until is None else heard_until
         effects += self.admission.handle_overdue_openings(now, heard_until)
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
@@ -272,7 +266,7 @@
         if service != self.backend.service:
             return Holding.NO
         if entry is None or entry.probe_origin:
-            is_certain = self.backend.knows_all_flows or self.backend.is_missing(now)
+            is_certain = self.backend.may_deny_flows(now) or self.backend.is_missing(now)
             return Holding.NO if is_certain else Holding.UNSURE
         if entry.is_open:
             return Holding.YES
