Compare revisions of the store within its era

The store may come back from a copy some seconds old and give revisions out again. ActiveConfiguration kept only what has a higher revision, and so did agents and is_behind, so an outage of the new era was ignored. Outage has an era and compares by (era, revision); reports carry it (storeEra). The store's client reads Store-Era from each answer, rejects an earlier era, and lists a kind again whose revision is of another era. A data centre whose entry was lost stays out for twice store_silence_limit_ms; a process that starts meanwhile learns of the hold from reports. Each process writes its own entry again in a later era, spread by store_rewrites_per_s.

Ruled out: a header-less store changes nothing (era 0), nothing polls for the era.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/agent.py
@@ -8,6 +8,7 @@
 from fescueseam.handshake.backend import BackendMonitor, HeartbeatOutcome
 from fescueseam.handshake.member import Availability, Role
 from fescueseam.handshake.notices import Locate, LocateBatch, Report
+from fescueseam.handshake.outages import OutageHolds
 from fescueseam.handshake.report_intervals import MIN_AGENT_INTERVAL_S
 from fescueseam_daemon.handshake.node import Node
 from fescueseam_daemon.handshake.platform_interface import Deregistration
@@ -43,7 +44,9 @@
         backend = BackendMonitor(
             settings.service, settings.heartbeat_interval_s, now, self.node.started_ms
         )
-        self.core = Agent(self.node.fleet, backend, now)
+        self.core = Agent(
+            self.node.fleet, backend, now, outage_holds=OutageHolds(settings.outage_hold_s)
+        )
         self.ticker = Ticker(self.node, self.core, (self.node.edge_socket,))
 
     async def run(self) -> None:
@@ -66,6 +69,7 @@
             nursery.start_soon(node.serve_metrics)
             for place, loop in (
                 ("membership", self._maintain_membership),
+                ("registration", self._keep_registered),
                 ("ticker", self.ticker.run),
                 ("maintenance", self._run_periodic_tasks),
                 ("backend-check", self._check_backend_after_start),
@@ -194,6 +198,12 @@
                 node.log_event("members-listed", {"count": len(balancers)})
             await trio.sleep(BALANCER_TIMEOUT_S / 2)
 
+    async def _keep_registered(self) -> None:
+        await self.node.keep_registered(self._has_backend)
+
+    def _has_backend(self) -> bool:
+        return self.core.backend.compute_availability(trio.current_time()) is not Availability.LEFT
+
     def _build_report_request(self, requests_members: bool = False) -> Report:
         return self.core.build_report(
             trio.current_time(), requests_report=True, requests_members=requests_members
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -12,7 +12,8 @@
 from fescueseam.handshake.member import Identity, Load, Member, Role
 from fescueseam.handshake.notices import HomeHandover, Locate, Located, LocatedBatch, Report
 from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
-from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
+from fescueseam.handshake.outages import Outage, OutageHolds
+from fescueseam.handshake.rules import ActiveConfiguration, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
 from fescueseam_daemon.handshake.node import HTTP_PORT_OFFSET, MAINTENANCE_INTERVAL_S, Node
@@ -71,6 +72,7 @@
     """Whether another balancer has reported to this process."""
 
     def __attrs_post_init__(self) -> None:
+        self.configuration.holds = OutageHolds(self.node.settings.outage_hold_s)
         self.core = Balancer(
             self.node.fleet,
             self.configuration,
@@ -103,6 +105,7 @@
                 ("rules-watch", self._watch_rules),
                 ("outage-watch", self._watch_outage),
                 ("membership", self._maintain_membership),
+                ("registration", node.keep_registered),
                 ("ticker", self.ticker.run),
                 ("maintenance", self._run_periodic_tasks),
                 ("reports", self._send_due_reports),
@@ -185,14 +188,14 @@
         changed = node.record_report(body, sequence, now)
         if body.identity.role is Role.BALANCER:
             self._has_balancer_report = True
-            self._apply_outage(body.outage, body.identity.name)
+            self._apply_outage(body.outage, body.identity.name, body.outage_held_s)
             if body.rules_version > max(self.configuration.rules.version, self._fetching_version):
                 self._fetching_version = body.rules_version
                 assert self._nursery is not None, "run() has opened the nursery"
                 fetch = partial(self._fetch_rules, body)
                 self._nursery.start_soon(node.barrier.run_task, "rules-fetch", fetch)
         is_behind = body.rules_version < self.configuration.rules.version
-        is_behind = is_behind or body.outage.revision < self.configuration.outage.revision
+        is_behind = is_behind or body.outage.order < self.configuration.outage.order
         if body.requests_report or (changed and is_behind):
             requester_role = body.identity.role if body.requests_members else None
             node.send_notice(
@@ -282,12 +285,20 @@
                 if member.identity.role is Role.BALANCER or fleet.is_near(member)
             )
 
-    def _apply_outage(self, outage: Outage, source: str) -> None:
-        previous = self.configuration.outage.data_centres
-        if self.configuration.update_outage(outage) and previous != outage.data_centres:
+    def _apply_outage(self, outage: Outage, source: str, hold_s: float = 0.0) -> None:
+        previous, now = self.configuration.outage, trio.current_time()
+        if not self.configuration.update_outage(outage, now, hold_s):
+            return
+        current = self.configuration.outage
+        if current.held - previous.held:
+            remaining_ms = round(self.configuration.holds.compute_remaining(now) * 1000)
+            fields = {"held": sorted(current.held), "store_era": current.era}
+            self.node.log_event("outage-held", {**fields, "for_ms": remaining_ms})
+        if previous.data_centres != current.data_centres:
             fields = {
-                "out": sorted(outage.data_centres),
-                "revision": outage.revision,
+                "out": sorted(current.data_centres),
+                "revision": current.revision,
+                "store_era": current.era,
                 "source": source,
             }
             self.node.log_event("outage-taken", fields)
@@ -344,6 +355,8 @@
             await trio.sleep(MAINTENANCE_INTERVAL_S)
             now = trio.current_time()
             self.core.expire(now, HOME_RETENTION_S)
+            if self.configuration.outage.held:
+                self._apply_outage(self.configuration.outage, "hold")
             self.node.log_reachability_changes(now)
 
     async def _send_due_reports(self) -> None:
@@ -397,4 +410,6 @@
             known_members,
             requests_report,
             requests_members,
+            self.configuration.holds.compute_remaining(now),
+            len(fleet.members) + 1 if self.configuration.outage.era else 0,
         )
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -8,7 +8,13 @@
 import trio
 from attrs import define, field
 
-from fescueseam.exceptions import ErrorKind, MessageError, PacketError, StoreError
+from fescueseam.exceptions import (
+    ErrorKind,
+    MessageError,
+    PacketError,
+    StoreEraChangedError,
+    StoreError,
+)
 from fescueseam.handshake.containment import build_failure_event
 from fescueseam.handshake.effects import (
     Deliver,
@@ -62,6 +68,11 @@
 about two seconds after the store's recovery."""
 
 
+REGISTRATION_CHECK_INTERVAL_S = 1.0
+"""Interval at which a process without a need for its entry checks whether it has one again, in
+seconds."""
+
+
 @define
 class DependencyStatus:
     """Reachability of a dependency; failures and recoveries are logged."""
@@ -99,6 +110,13 @@
     own: Identity
     started_ms: int | None = None
     """Wall clock at the start of the process, in milliseconds; None if it is not known."""
+    store_era: int | None = None
+    """Latest era of the store that this process knows of; None before the first."""
+    registered_era: int | None = None
+    """Store era in which this process's entry was last written or found; None before the first."""
+    reported_member_count: int = 0
+    """Number of members in the last report of a balancer that named it."""
+    _era_changed: trio.Event = field(factory=trio.Event)
     fleet: Fleet = field(init=False)
     store: ControlStore = field(init=False)
     store_status: DependencyStatus = field(init=False)
@@ -119,6 +137,7 @@
         self.notice_codec.set_keys(settings.keys)
         self.store = self.platform.open_store(settings.store.address, settings.store.port)
         self.store.on_unreadable = self._log_unreadable_entries
+        self.store.on_era = partial(self.record_store_era, source="store")
         self.store_status = DependencyStatus("store", self.events)
         self.notice_socket = UdpSocket(settings.address, settings.peer_port + NOTICE_PORT_OFFSET)
         self.peer_socket = UdpSocket(settings.address, settings.peer_port + PACKET_PORT_OFFSET)
@@ -207,6 +226,9 @@
 
     def record_report(self, body: Report, sequence: int, now: float) -> bool:
         """Record a report and the members that it names; return whether anything changed."""
+        if body.outage.revision:
+            self.record_store_era(body.outage.era, body.identity.name)
+        self.reported_member_count = body.member_count or self.reported_member_count
         changed = self.fleet.record_report(body.identity, body.load, sequence, now)
         if changed:
             fields = {
@@ -248,17 +270,54 @@
         for address in sorted(addresses - recently_heard):
             self.send_notice(address, report)
 
-    async def register(self) -> None:
-        """Write this process's entry to the store; retry until it succeeds."""
+    def record_store_era(self, era: int, source: str) -> None:
+        """Record the store era of an answer or of a report."""
+        previous = self.store_era
+        if previous is not None and era <= previous:
+            return
+        self.store_era = era
+        if era:
+            self.store.observe_era(era)
+        if previous is None:
+            return
+        self.log_event("store-era-changed", {"from": previous, "to": era, "source": source})
+        self._era_changed.set()
+        self._era_changed = trio.Event()
+
+    async def register(self) -> bool:
+        """Write this process's entry to the store, and retry until it succeeds.
+
+        Return whether the stored entry changed.
+        """
         while True:
             try:
-                await self.store.register(self.own)
+                has_changed = await self.store.register(self.own)
             except StoreError as exc:
                 await self.handle_store_failure(exc)
                 continue
             self.store_status.record_success(trio.current_time())
             self.log_event("member-registered", {"address": self.settings.advertised})
-            return
+            # An answer of an earlier era would have been rejected.
+            self.registered_era = self.store_era or 0
+            return has_changed
+
+    async def keep_registered(self, is_needed: Callable[[], bool] = lambda: True) -> None:
+        """Write this process's entry again in each later era of the store, until cancelled.
+
+        The processes spread their calls over a time in proportion to their number. While the
+        entry is not needed, it is not written.
+        """
+        while True:
+            while self.registered_era is None or (self.store_era or 0) <= self.registered_era:
+                await self._era_changed.wait()
+            member_count = max(self.reported_member_count, len(self.fleet.members) + 1)
+            spread_s = member_count / self.settings.store_rewrites_per_s
+            await trio.sleep(self.rng.uniform(0.0, spread_s))
+            while not is_needed():
+                await trio.sleep(REGISTRATION_CHECK_INTERVAL_S)
+            if await self.register():
+                fields = {"store_era": self.registered_era}
+                self.log_event("member-rewritten", fields)
 
     async def list_members(self, allow_stale: bool) -> list[Identity]:
         """Return the registered members; retry until the store replies."""
@@ -277,8 +336,11 @@
         """Record a failed call of the store and wait for the backoff.
 
         The backoff after a watch counts from its start: one that ran into its timeout is followed
-        by a read at once, as a change may have been missed.
+        by a read at once, as a change may have been missed. A change of the store's era is no
+        failure.
         """
+        if isinstance(exc, StoreEraChangedError):
+            return
         self.store_status.record_failure(exc, trio.current_time())
         wait_s = compute_backoff(
             self.store_status.consecutive_failures,
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/platform_interface.py
@@ -7,7 +7,8 @@
 
 from fescueseam.handshake.backend import Heartbeat
 from fescueseam.handshake.member import Identity
-from fescueseam.handshake.rules import Outage, Rules
+from fescueseam.handshake.outages import Outage
+from fescueseam.handshake.rules import Rules
 from fescueseam.handshake.segments import PacketFormat
 
 WATCH_MARGIN_S = 0.8
@@ -41,7 +42,7 @@
     def apply_to(self, outage: Outage) -> Outage:
         """Return an outage after these changes."""
         remaining = (outage.data_centres | set(self.added)) - set(self.removed)
-        return Outage(max(outage.revision, self.revision), frozenset(remaining))
+        return Outage(max(outage.revision, self.revision), frozenset(remaining), outage.era)
 
 
 class ControlStore(Protocol):
@@ -49,6 +50,11 @@
 
     on_unreadable: Callable[[str, int], None]
     """Called with a kind of entries and the number of those that cannot be used, if it changed."""
+    on_era: Callable[[int], None]
+    """Called with the store era of the first answer, and of each answer of a later era."""
+
+    def observe_era(self, era: int) -> None:
+        """Reject answers of an era before this one, which another process has seen."""
 
     async def read_rules(self) -> RulesSnapshot:
         """Return the configuration."""
@@ -56,7 +62,8 @@
     async def watch_rules(self, revision: int, wait_s: float) -> RulesSnapshot:
         """Wait up to `wait_s` seconds for a configuration newer than a revision.
 
-        Raise StoreError if there is no reply within WATCH_MARGIN_S after that time.
+        Raise StoreError if there is no reply within WATCH_MARGIN_S after that time, and
+        StoreEraChangedError if the revision is of an earlier era than the store's.
         """
 
     async def read_outage(self) -> Outage:
@@ -65,7 +72,7 @@
     async def watch_outage(self, revision: int, wait_s: float) -> OutageChanges:
         """Wait up to `wait_s` seconds for changes to the data centres taken out.
 
-        Raise StoreError if there is no reply within WATCH_MARGIN_S after that time.
+        It raises the same errors as `watch_rules`.
         """
 
     async def list_members(self, allow_stale: bool) -> list[Identity]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -27,6 +27,13 @@
 MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS = 2000, 60_000
 """Bounds of `store_silence_limit_ms`. Below the first one, watches would be renewed twice a second
 or more."""
+DEFAULT_STORE_REWRITES_PER_S = 100.0
+"""Default of `store_rewrites_per_s`."""
+MIN_STORE_REWRITES_PER_S, MAX_STORE_REWRITES_PER_S = 1, 10_000
+"""Bounds of `store_rewrites_per_s`."""
+OUTAGE_HOLD_FACTOR = 2
+"""Number of store silence limits for which a data centre whose entry was lost stays out: one in
+which the entry is written again, and one until the change is in force."""
 DEFAULT_LOG_LINES_PER_S = 20.0
 """Default limit of log lines per second for each event."""
 
@@ -73,9 +80,17 @@
     store_silence_limit_s: float = DEFAULT_STORE_SILENCE_LIMIT_MS / 1000
     """Time within which a change is in force although connections to the store went silent before
     it, in seconds."""
+    store_rewrites_per_s: float = DEFAULT_STORE_REWRITES_PER_S
+    """Largest number of calls per second with which all processes together write their entries
+    again after the store has come back from an older copy."""
     keys: "tuple[KeySettings, ...]" = ()
     """Keys of the notices between processes; the first signs. Without any, they are not signed."""
 
+    @property
+    def outage_hold_s(self) -> float:
+        """Return the time for which a data centre whose entry was lost stays out, in seconds."""
+        return OUTAGE_HOLD_FACTOR * self.store_silence_limit_s
+
 
 KEY_TYPES: dict[str, tuple[type, ...]] = {
     "instance": (str,),
@@ -98,6 +113,7 @@
     "log_lines_per_s": (int, float),
     "remote_penalty_ms": (int, float),
     "store_silence_limit_ms": (int, float),
+    "store_rewrites_per_s": (int, float),
     "keys": (list,),
 }
 """Accepted types of the value of each key."""
@@ -111,11 +127,13 @@
     "log_lines_per_s",
     "remote_penalty_ms",
     "store_silence_limit_ms",
+    "store_rewrites_per_s",
     "keys",
 }
 KEY_RANGES = {
     "remote_penalty_ms": (0, MAX_REMOTE_PENALTY_MS),
     "store_silence_limit_ms": (MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS),
+    "store_rewrites_per_s": (MIN_STORE_REWRITES_PER_S, MAX_STORE_REWRITES_PER_S),
 }
 """Least and largest value of each key that has both."""
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
@@ -284,6 +302,9 @@
         store_silence_limit_s=(
             values.get("store_silence_limit_ms", DEFAULT_STORE_SILENCE_LIMIT_MS) / 1000
         ),
+        store_rewrites_per_s=float(
+            values.get("store_rewrites_per_s", DEFAULT_STORE_REWRITES_PER_S)
+        ),
         keys=_build_keys(values.get("keys", [])),
     )
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/web.py
@@ -45,6 +45,12 @@
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+    """Names and values of further headers."""
+
+    def find_header(self, name: str) -> str | None:
+        """Return the value of a header, or None if there is none of that name."""
+        return next((item for key, item in self.headers if key.lower() == name.lower()), None)
 
 
 NOT_FOUND = Response(404, b'{"error": "no such page"}')
@@ -95,6 +101,7 @@
                 headers = [
                     ("Content-Type", response.content_type),
                     ("Content-Length", str(len(response.body))),
+                    *response.headers,
                 ]
                 head = h11.Response(status_code=response.status, headers=headers)
                 data = conn.send(head) or b""
@@ -239,6 +246,7 @@
 
 async def _read_response(conn: h11.Connection, stream: trio.SocketStream) -> Response:
     status = 0
+    headers: tuple[tuple[str, str], ...] = ()
     body = bytearray()
     conn.receive_data(await _receive_first(stream))
     while True:
@@ -247,11 +255,14 @@
             conn.receive_data(await stream.receive_some(RECEIVE_CHUNK_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = tuple(
+                (name.decode(), value.decode("latin-1")) for name, value in event.headers
+            )
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > MAX_RESPONSE_BODY_BYTES:
                 raise h11.RemoteProtocolError("the response body exceeds the limit")
         elif isinstance(event, h11.EndOfMessage):
-            return Response(status, bytes(body))
+            return Response(status, bytes(body), headers=headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("the connection closed before the end of the response")
--- a/packages/fescueseam/src/fescueseam/exceptions.py
+++ b/packages/fescueseam/src/fescueseam/exceptions.py
@@ -179,6 +179,10 @@
     kind = ErrorKind.STORE_UNAVAILABLE
 
 
+class StoreEraChangedError(StoreError):
+    """The store came back from an older copy, so earlier revisions have lost their meaning."""
+
+
 class StoreConflictError(StoreError):
     """A conditional update found another version of the object than expected."""
 
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -27,6 +27,7 @@
     Report,
 )
 from fescueseam.handshake.opening_admission import OpeningAdmission, return_packet
+from fescueseam.handshake.outages import OutageHolds
 from fescueseam.handshake.segments import (
     FlowId,
     Purpose,
@@ -49,6 +50,7 @@
     flows: FlowTable = field(factory=FlowTable)
     failures: FailureTracker = field(factory=FailureTracker)
     averages: LoadAverages = field(factory=LoadAverages)
+    outage_holds: OutageHolds = field(factory=OutageHolds)
     admission: OpeningAdmission = field(init=False)
     _service_tag: int = field(init=False)
 
@@ -175,15 +177,19 @@
             self.admission.rules_version = body.rules_version
             self.admission.cold_bounds = dict(body.cold_bounds)
             effects.append(LogEvent("rules-taken", {"config": body.rules_version}))
-        if body.outage.revision > self.admission.outage.revision:
-            previous = self.admission.outage.data_centres
-            self.admission.outage = body.outage
-            if previous != body.outage.data_centres:
-                fields = {
-                    "out": sorted(body.outage.data_centres),
-                    "revision": body.outage.revision,
-                }
-                effects.append(LogEvent("outage-taken", fields))
+        previous = self.admission.outage
+        outage = self.outage_holds.apply(previous, body.outage, now, body.outage_held_s)
+        self.admission.outage = outage
+        if previous.data_centres != outage.data_centres:
+            fields = {
+                "out": sorted(outage.data_centres),
+                "revision": outage.revision,
+                "store_era": outage.era,
+            }
+            effects.append(LogEvent("outage-taken", fields))
+        if outage.held - previous.held:
+            held_fields = {"held": sorted(outage.held), "store_era": outage.era}
+            effects.append(LogEvent("outage-held", held_fields))
         return effects
 
     def has_pending_work(self) -> bool:
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -25,7 +25,7 @@
     NoticeBody,
     Report,
 )
-from fescueseam.handshake.rules import Outage
+from fescueseam.handshake.outages import Outage
 from fescueseam.handshake.segments import FlowId, ServiceAddress
 
 TRAVERSAL_LIMIT_WORDS = 1 << 16
@@ -185,6 +185,11 @@
     target.rulesVersion = body.rules_version
     target.outageRevision = body.outage.revision
     target.dataCentresOut = sorted(body.outage.data_centres)
+    target.storeEra = body.outage.era
+    if body.outage.held:
+        target.heldDataCentres = sorted(body.outage.held)
+        target.heldForMs = round(body.outage_held_s * 1000)
+    target.memberCount = body.member_count
     bounds = target.init("coldBounds", len(body.cold_bounds))
     for item, (service, openings_per_s) in zip(bounds, body.cold_bounds, strict=True):
         item.service = service
@@ -219,9 +224,16 @@
             _read_work(load.work),
         ),
         rules_version=source.rulesVersion,
-        outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
+        outage=Outage(
+            source.outageRevision,
+            frozenset(source.dataCentresOut),
+            source.storeEra,
+            frozenset(source.heldDataCentres),
+        ),
         cold_bounds=tuple((item.service, item.openingsPerS) for item in source.coldBounds),
         known_members=tuple(_read_identity(item) for item in source.others),
         requests_report=source.asksBack,
         requests_members=source.asksMembers,
+        outage_held_s=source.heldForMs / 1000,
+        member_count=source.memberCount,
     )
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from fescueseam.handshake.member import Identity, Load
-from fescueseam.handshake.rules import NO_OUTAGE, Outage
+from fescueseam.handshake.outages import NO_OUTAGE, Outage
 from fescueseam.handshake.segments import FlowId
 
 
@@ -37,6 +37,10 @@
     """Whether the receiver should reply with a report."""
     requests_members: bool = False
     """Whether the reply should name the members that the receiver knows."""
+    outage_held_s: float = 0.0
+    """Time for which the held data centres of the outage stay out, in seconds."""
+    member_count: int = 0
+    """Number of members that a balancer knows, itself included; 0 if the store has had one era."""
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -17,7 +17,7 @@
     OVERFLOW_REQUESTS_PER_SLOT,
     DeliveredOpening,
 )
-from fescueseam.handshake.rules import Outage
+from fescueseam.handshake.outages import Outage
 from fescueseam.handshake.segments import (
     FlowId,
     Mark,
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 
 from fescueseam.exceptions import MessageError
+from fescueseam.handshake.outages import Outage, OutageHolds
 from fescueseam.handshake.segments import FlowId, ServiceAddress
 from fescueseam.overload.needs import RouteNeeds
 
@@ -73,23 +74,13 @@
     return rules
 
 
-@frozen
-class Outage:
-    """Data centres that operators have taken out, at one revision of the store."""
-
-    revision: int = 0
-    data_centres: frozenset[str] = frozenset()
-
-
-NO_OUTAGE = Outage()
-
-
 @define
 class ActiveConfiguration:
     """Newest rules and outage; older ones are ignored."""
 
     rules: Rules = field(factory=Rules)
     outage: Outage = field(factory=Outage)
+    holds: OutageHolds = field(factory=OutageHolds)
     _routes: dict[ServiceAddress, Route] = field(factory=dict)
     _former_services: dict[ServiceAddress, dict[str, float]] = field(factory=dict)
     """Services that routes had in earlier rules, and when each was last replaced."""
@@ -108,12 +99,14 @@
         """Return whether both the rules and the outage have been loaded."""
         return self.rules.version > 0 and self.outage.revision > 0
 
-    def update_outage(self, outage: Outage) -> bool:
-        """Replace the outage if the revision is newer; return whether it was."""
-        if outage.revision <= self.outage.revision:
-            return False
-        self.outage = outage
-        return True
+    def update_outage(self, outage: Outage, now: float = 0.0, hold_s: float = 0.0) -> bool:
+        """Take an outage over if it is newer; return whether the one in force has changed.
+
+        A data centre that it names as held stays out for `hold_s` seconds.
+        """
+        previous = self.outage
+        self.outage = self.holds.apply(previous, outage, now, hold_s)
+        return self.outage != previous
 
     def is_data_centre_out(self, data_centre: str) -> bool:
         """Return whether operators have taken a data centre out."""
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -62,6 +62,9 @@
   asksBack @7 :Bool;
   asksMembers @8 :Bool;
   storeEra @9 :UInt64;
+  heldDataCentres @10 :List(Text);
+  heldForMs @11 :UInt32;
+  memberCount @12 :UInt32;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -36,11 +36,13 @@
     IDENTITY,
     LOAD,
     9,
-    Outage(12, frozenset({"a", "b"})),
+    Outage(12, frozenset({"a", "b"}), 3, frozenset({"b"})),
     (("alerts", 4.0),),
     (IDENTITY,),
     True,
     True,
+    outage_held_s=2.5,
+    member_count=61,
 )
 NOTICES = [
     Notice("agent-1", 77, 3, body)
