--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -278,9 +278,8 @@
         self.store_era = era
         if era:
             self.store.observe_era(era)
-        if previous is None:
-            return
-        self.log_event("store-era-changed", {"from": previous, "to": era, "source": source})
+        if previous is not None:
+            self.log_event("store-era-changed", {"from": previous, "to": era, "source": source})
         self._era_changed.set()
         self._era_changed = trio.Event()
 
