Read the product's own store again after it came back from a copy

A watch from a revision that the store had lost missed what was written until it answered, and lost tables were written again only with the next change. Watches notice a later era or a lower revision; keepers and directories check their objects.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/directory.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/directory.py
@@ -72,6 +72,10 @@
         if self._stored is not None:
             self._stored = self._merge_members(self._stored)
 
+    def check_again(self) -> None:
+        """Read the object again, as the store may have lost a write."""
+        self._stored = None
+
     def on_failed(self, now: float) -> None:
         """Process a failed call; the delay before the next read grows with each failure."""
         self._failures += 1
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -1,5 +1,6 @@
 """Run the control loops of a daemon: tick, watch the store, and write tables and directories."""
 
+import logging
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -27,6 +28,8 @@
 from fescueseam_daemon.control.tables import TableSet, TableStep
 from fescueseam_daemon.failure_barrier import FailureBarrier
 
+log = logging.getLogger(__name__)
+
 TICK_INTERVAL_S = 0.05
 WATCH_TIMEOUT_S = 1.5
 """Longest time that one watch of the store waits for a change, in seconds. It bounds, with the
@@ -253,7 +256,7 @@
         }
 
     async def _watch(self) -> None:
-        after = 0
+        after, era = 0, 0
         while True:
             if after > 0 and not self.balancer.is_watcher():
                 await trio.sleep(1.0)
@@ -263,6 +266,8 @@
                 continue
             try:
                 changes = await self.store.watch("", after, WATCH_TIMEOUT_S)
+                if changes.era < era:
+                    raise StoreError(f"the store answered in era {changes.era}, after era {era}")
             except StoreError:
                 self._watch_breaker.record_failure(time.monotonic())
                 continue
@@ -271,8 +276,19 @@
             self.node.gossip.record_store_read()
             for stored in changes.objects:
                 self.accept_object(stored)
-            # A store that was restored from a backup continues from a lower revision.
-            after = max(changes.revision, 1)
+            if after > 0 and (changes.era > era or changes.revision < after - 1):
+                # The store came back from an older copy. Its changes up to here may have been
+                # missed, and its revisions are those of another history.
+                log.warning(
+                    "store came back from an older copy",
+                    extra={"revision": changes.revision, "before": after, "era": changes.era},
+                )
+                self.tables.check_again()
+                self.directory.check_again()
+                after, era = 0, changes.era
+                continue
+            # An empty store is at revision 0, which would ask for everything again.
+            after, era = max(changes.revision, 1), changes.era
 
     async def _poll_configuration(self) -> None:
         polled_at = trio.current_time()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tables.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tables.py
@@ -64,6 +64,11 @@
                 steps.append(TableStep(keeper, call))
         return steps
 
+    def check_again(self) -> None:
+        """Read all tables again, as the store may have lost writes."""
+        for keeper in self.keepers.values():
+            keeper.check_again()
+
     def _can_skip_step(self, now: float) -> bool:
         """Return whether a step can be skipped because nothing changed and no write is pending."""
         node = self._node
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/store.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/store.py
@@ -105,7 +105,8 @@
         reply = await self._call("watch", "GET", "/watch", params=params, timeout=timeout)
         body = _read_body(reply)
         deleted = tuple(body.get("deleted", ()))
-        return StoreChanges(_read_int(body, "revision"), _read_objects(body), deleted)
+        era = _read_int(body, "era") if "era" in body else 0
+        return StoreChanges(_read_int(body, "revision"), _read_objects(body), deleted, era)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/fescueseam-standins/src/fescueseam_standins/platform.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/platform.py
@@ -74,11 +74,14 @@
         after = int(request.args.get("after", "0"))
         timeout_s = min(float(request.args.get("timeout_s", "30")), MAX_WATCH_TIMEOUT_S)
         self.state.begin_watch()
+        era = self.state.era
         changes = self.state.find_changes(prefix, after)
         with trio.move_on_after(timeout_s):
             while not changes.objects and not changes.deleted:
                 await self._change_event.wait()
                 self._check_outage()
+                if era != self.state.era:
+                    raise OutageError("the platform went away during the watch")
                 changes = self.state.find_changes(prefix, after)
         return make_json_response(200, encode_changes(changes))
 
@@ -92,6 +95,17 @@
         self._wake_watches()
         return make_json_response(200, encode_item(self.state.faults))
 
+    async def make_copy(self) -> Response:
+        """Keep a copy of the objects to come back to."""
+        self.state.make_copy()
+        return make_json_response(200, {"revision": self.state.revision})
+
+    async def come_back(self) -> Response:
+        """Continue from the copy; watches that wait are cut off."""
+        self.state.come_back()
+        self._wake_watches()
+        return make_json_response(200, {"revision": self.state.revision, "era": self.state.era})
+
     async def show_call_counts(self) -> Response:
         """Return the number of calls by kind."""
         return make_json_response(200, encode_item(self.state.calls))
@@ -130,6 +144,8 @@
             rule, f"{method} {rule}", _inject_faults(server, handler), methods=[method]
         )
     app.add_url_rule("/faults", "set_faults", server.set_faults, methods=["POST"])
+    app.add_url_rule("/copy", "make_copy", server.make_copy, methods=["POST"])
+    app.add_url_rule("/come-back", "come_back", server.come_back, methods=["POST"])
     app.add_url_rule("/calls", "count_calls", server.show_call_counts, methods=["GET"])
     return _add_connection_drops(app)
 
@@ -141,11 +157,14 @@
 
 def encode_changes(changes: Changes) -> dict[str, JsonValue]:
     """Return changes as the JSON object of a watch response."""
-    return {
+    body: dict[str, JsonValue] = {
         "revision": changes.revision,
         "objects": [encode_item(stored) for stored in changes.objects],
         "deleted": list(changes.deleted),
     }
+    if changes.era:
+        body["era"] = changes.era
+    return body
 
 
 def parse_expected_version() -> int | None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/platform_state.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/platform_state.py
@@ -1,5 +1,6 @@
 """Store the objects, the fault switches and the call counts of the platform's object API."""
 
+import copy
 from typing import TypeAlias
 
 from attrs import asdict, define, field, frozen
@@ -49,6 +50,7 @@
     revision: int
     objects: tuple[StoredObject, ...]
     deleted: tuple[str, ...]
+    era: int = 0
 
 
 @define
@@ -88,9 +90,23 @@
     """Versioned objects with conditional updates; every change gets a new revision."""
 
     revision: int = 0
+    era: int = 0
+    """Number of times that the objects came back from an older copy."""
     faults: Faults = field(factory=Faults)
     calls: CallCounts = field(factory=CallCounts)
     _records: dict[str, _ObjectRecord] = field(factory=dict)
+    _copy: tuple[int, dict[str, _ObjectRecord]] = field(factory=lambda: (0, {}))
+    """Revision and objects to come back to."""
+
+    def make_copy(self) -> None:
+        """Keep a copy of the objects to come back to."""
+        self._copy = self.revision, copy.deepcopy(self._records)
+
+    def come_back(self) -> None:
+        """Continue from the copy in the next era."""
+        revision, records = self._copy
+        self.revision, self._records = revision, copy.deepcopy(records)
+        self.era += 1
 
     def read(self, key: str) -> StoredObject | None:
         """Return an object, or None if it does not exist."""
@@ -143,6 +159,7 @@
             self.revision,
             tuple(record.current for _, record in changed if record.current is not None),
             tuple(key for key, record in changed if record.current is None),
+            self.era,
         )
 
     def _get_visible(self, record: _ObjectRecord) -> StoredObject | None:
--- a/packages/fescueseam-standins/src/fescueseam_standins/tests/test_platform.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/tests/test_platform.py
@@ -138,3 +138,22 @@
     state.delete("a", 2)
     assert state.write("a", 0, 4) == 4
     assert state.find_changes("", 3).objects[0].value == 4
+
+
+def test_objects_come_back_from_an_older_copy() -> None:
+    async def scenario(client: httpx.AsyncClient) -> None:
+        await client.put("/objects/a", json=1, headers=make_if_match(0))
+        await client.post("/copy")
+        await client.put("/objects/a", json=2, headers=make_if_match(1))
+        await client.put("/objects/b", json=3, headers=make_if_match(0))
+        before = (await client.get("/watch", params={"after": 0})).json()
+        assert (before["revision"], "era" in before) == (3, False)
+        back = (await client.post("/come-back")).json()
+        assert back == {"revision": 1, "era": 1}
+        changes = (await client.get("/watch", params={"after": 0})).json()
+        assert (changes["revision"], changes["era"]) == (1, 1)
+        assert changes["objects"] == [{"key": "a", "version": 1, "value": 1}]
+        again = await client.put("/objects/c", json=4, headers=make_if_match(0))
+        assert again.json()["version"] == 2
+
+    run_with_client(scenario)
--- a/packages/fescueseam/src/fescueseam/upkeep/keeper.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/keeper.py
@@ -87,6 +87,7 @@
         self._stored_epoch = 0
         self._pending_write: Table | None = None
         self._in_flight = False
+        self._needs_read = False
         self._breaker = breaker or Breaker(rng)
         self._history = TableHistory(now)
         self._retired_since: dict[tuple[str, int], float] = {}
@@ -101,7 +102,8 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a change is due or being written."""
-        return self._due_since is not None or self._pending_write is not None or self._in_flight
+        has_call = self._needs_read or self._pending_write is not None or self._in_flight
+        return has_call or self._due_since is not None
 
     def learn(self, table: Table, now: float, version: int | None = None) -> None:
         """Adopt a table from gossip or a watch if it is newer than the known one."""
@@ -110,6 +112,11 @@
             self._object_version = version
             self._stored_epoch = table.epoch
 
+    def check_again(self) -> None:
+        """Read the object before the next write, and now, as the store may have lost a write."""
+        self._needs_read = True
+        self._object_version = None
+
     def start_next_call(
         self, keeper_input: KeeperInput, now: float
     ) -> ReadTable | WriteTable | None:
@@ -135,6 +142,7 @@
         """
         table = decode_table(stored.value) if stored is not None else Table(self.table.service, 0)
         self._in_flight = False
+        self._needs_read = False
         self._breaker.record_success()
         self._pending_write = None
         self._object_version = stored.version if stored is not None else 0
@@ -210,10 +218,9 @@
         return plan_table(self.table, planner_input, is_expired, can_follow)
 
     def _is_due(self, plan: TablePlan, keeper_input: KeeperInput, now: float) -> bool:
-        is_store_behind = (
-            0 < self._stored_epoch < self.table.epoch and self._object_version is not None
-        )
-        if plan.table == self.table and self._pending_write is None and not is_store_behind:
+        is_store_behind = self._stored_epoch < self.table.epoch and self._object_version is not None
+        has_reason = self._needs_read or self._pending_write is not None or is_store_behind
+        if plan.table == self.table and not has_reason:
             self._due_since = None
             return False
         if self._due_since is None:
--- a/packages/fescueseam/src/fescueseam/upkeep/store.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/store.py
@@ -16,11 +16,13 @@
 
 @frozen
 class StoreChanges:
-    """The changes that a watch returned, up to a revision."""
+    """The changes that a watch returned, up to a revision of one era of the store."""
 
     revision: int
     objects: tuple[StoredObject, ...] = ()
     deleted: tuple[str, ...] = ()
+    era: int = 0
+    """Number that rises each time the store comes back from an older copy."""
 
 
 class Store(Protocol):
--- a/packages/fescueseam/src/fescueseam/upkeep/tests/test_keeper.py
+++ b/packages/fescueseam/src/fescueseam/upkeep/tests/test_keeper.py
@@ -283,6 +283,36 @@
     assert get_states(settled_sim.store.table)["a1"] is MemberState.RETIRED
 
 
+@pytest.mark.parametrize("restored_epoch", [0, 1])
+def test_lost_table_is_written_again_once_the_store_is_known_to_be_back(
+    settled_sim, restored_epoch
+):
+    settled_sim.report_members("a0", status=Status.DEAD)
+    settled_sim.run(PACKET_LIFETIME_S + 10.0)
+    lost_table = settled_sim.store.table
+    first = encode_table(evolve(lost_table, epoch=1, writer="x"))
+    restored = StoredObject("tables/katalog", 1, first) if restored_epoch else None
+    settled_sim.store.current = restored
+    settled_sim.run(10.0)
+    assert settled_sim.store.current == restored
+    for keeper in settled_sim.keepers.values():
+        keeper.check_again()
+    settled_sim.run(10.0)
+    assert settled_sim.store.table.epoch == lost_table.epoch + 1
+    assert get_states(settled_sim.store.table) == get_states(lost_table)
+    calls = settled_sim.store.reads + settled_sim.store.writes
+    settled_sim.run(20.0)
+    assert settled_sim.store.reads + settled_sim.store.writes <= calls + 2
+
+
+def test_intact_table_is_read_and_not_written_again(settled_sim):
+    writes, reads = settled_sim.store.writes, settled_sim.store.reads
+    settled_sim.keepers["b0"].check_again()
+    settled_sim.run(10.0)
+    assert settled_sim.store.writes == writes
+    assert settled_sim.store.reads == reads + 1
+
+
 def test_malformed_table_in_the_store_leaves_the_pending_write_and_counts_as_failed(settled_sim):
     keeper = settled_sim.keepers["b0"]
     table = keeper.table
