--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/loops.py
@@ -256,7 +256,7 @@
         }
 
     async def _watch(self) -> None:
-        after, era = 0, 0
+        after, revision, era = 0, 0, 0
         while True:
             if after > 0 and not self.balancer.is_watcher():
                 await trio.sleep(1.0)
@@ -276,19 +276,20 @@
             self.node.gossip.record_store_read()
             for stored in changes.objects:
                 self.accept_object(stored)
-            if after > 0 and (changes.era > era or changes.revision < after - 1):
+            if after > 0 and (changes.era > era or changes.revision < revision):
                 # The store came back from an older copy. Its changes up to here may have been
                 # missed, and its revisions are those of another history.
                 log.warning(
                     "store came back from an older copy",
-                    extra={"revision": changes.revision, "before": after, "era": changes.era},
+                    extra={"revision": changes.revision, "before": revision, "era": changes.era},
                 )
                 self.tables.check_again()
                 self.directory.check_again()
-                after, era = 0, changes.era
+                after, revision, era = 0, 0, changes.era
                 continue
+            revision, era = changes.revision, changes.era
             # An empty store is at revision 0, which would ask for everything again.
-            after, era = max(changes.revision, 1), changes.era
+            after = max(revision, 1)
 
     async def _poll_configuration(self) -> None:
         polled_at = trio.current_time()
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_store_copies.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/control/tests/test_store_copies.py
@@ -49,6 +49,12 @@
             1,
             id="lower-revision-without-an-era",
         ),
+        pytest.param(
+            [build_changes(299, 0), build_changes(299, 0, 299)],
+            [0, 300, 0, 299],
+            1,
+            id="one-revision-lost",
+        ),
         pytest.param([build_changes(301, 0, 301)], [0, 300, 301], 0, id="same-era"),
     ],
 )
--- a/packages/fescueseam/src/fescueseam/handshake/outages.py
+++ b/packages/fescueseam/src/fescueseam/handshake/outages.py
@@ -6,7 +6,6 @@
 
 DEFAULT_OUTAGE_HOLD_S = 8.0
 """Default time for which a data centre stays out after its entry was lost, in seconds."""
-
 HELD_LIMIT = 256
 """Largest number of data centres whose holds are taken over from other processes."""
 
