--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -18,7 +18,7 @@
     OVERFLOW_REQUESTS_PER_SLOT,
     DeliveredOpening,
 )
-from fescueseam.handshake.rules import Outage
+from fescueseam.handshake.outages import Outage
 from fescueseam.handshake.segments import (
     FlowId,
     Mark,
@@ -140,22 +140,23 @@
         was_heard = self.backend.last_heartbeat is not None
         return bound > 0 and was_heard and not self.backend.is_cold_state_known(now)
 
-    def take_outage(self, outage: Outage, now: float) -> bool:
-        """Take an outage if it is newer; return whether the data centres out have changed.
+    def take_outage(self, outage: Outage, is_reported: bool, now: float) -> bool:
+        """Put an outage in force; return whether the data centres out have changed.
 
-        The backend servers of a data centre may have become cold shortly before it is taken back.
+        `is_reported` says whether a balancer that knows the outage has just reported it. The
+        backend servers of a data centre may have become cold shortly before it is taken back.
         """
         is_unsure = now - self._outage_heard_at > OUTAGE_SILENCE_S
-        if outage.revision > 0:
+        if is_reported:
             self._outage_heard_at = now
-        if outage.revision <= self.outage.revision:
+        previous = self.outage
+        if outage == previous:
             return False
-        previous = self.outage.data_centres
         self.outage = outage
-        was_out = self.own.data_centre in previous
+        was_out = self.own.data_centre in previous.data_centres
         if (was_out or is_unsure) and self.own.data_centre not in outage.data_centres:
             self.backend.cold_start.require_heartbeat(now)
-        return previous != outage.data_centres
+        return previous.data_centres != outage.data_centres
 
     def find_return_reason(self, purpose: Purpose, now: float) -> str:
         """Return why an opening is not admitted now; empty if it is."""
