Let openings wait beside a server by what their callers need

An opening of a route with needs is now let in, held at an agent or refused by the wait expected there. The mark carries the allowed wait and the priority; agents answer WAITING. Routes without needs take the former way.

Ruled out: a queue at the balancers, which learn of a free slot too late; see docs/design/hard-load.md.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -53,7 +53,7 @@
     _service_tag: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.admission = OpeningAdmission(self.fleet.own, self.backend, self.flows)
+        self.admission = OpeningAdmission(self.fleet.own, self.backend, self.flows, self.averages)
         self._service_tag = compute_service_tag(self.backend.service)
 
     def handle_packet(self, segment: Segment, now: float) -> Effects:
@@ -111,7 +111,9 @@
         if end is not None:
             self.failures.record_request_end(not end.answered, now)
         if end is not None and end.answered:
-            self.averages.record_service_time(end.duration_s)
+            heartbeat = self.backend.last_heartbeat
+            slots = max(1, heartbeat.slots) if heartbeat is not None else 1
+            self.averages.record_service_time(end.duration_s, (self.flows.busy + 1) / slots)
             effects.append(Observe("service_seconds", self.backend.service, end.duration_s))
         elif end is not None:
             fields = {
@@ -122,7 +124,7 @@
             effects.append(LogEvent("request-unanswered", fields))
         if segment.resets:
             entry.caller_finished = entry.server_finished = True
-        return effects
+        return effects + self.admission.admit_waiting(now) if end is not None else effects
 
     def handle_locate(self, origin: int, body: Locate, now: float) -> Effects:
         """Reply whether the backend server holds a flow."""
@@ -193,7 +195,7 @@
     def start_shutdown(self, now: float) -> Effects:
         """Stop admitting flows and report this to the balancers."""
         self.admission.leaving = True
-        return self.report_to_all(now)
+        return [*self.admission.admit_waiting(now), *self.report_to_all(now)]
 
     def has_accepted_work(self, now: float) -> bool:
         """Return whether a stop now would cut off a request or an accepted flow."""
@@ -207,7 +209,7 @@
         stuck = self.flows.count_stuck(compute_stuck_after(self.averages.service_time_s), now)
         return Load(
             availability=self.backend.compute_availability(now),
-            busy=self.flows.busy,
+            busy=self.flows.busy + len(self.admission.waiting),
             flows=self.flows.count_open(),
             slots=0 if heartbeat is None else heartbeat.slots,
             utilisation=self.averages.utilisation,
@@ -262,6 +264,7 @@
         effects: Effects = []
         heard_until = now if heard_until is None else heard_until
         effects += self.admission.handle_overdue_openings(now, heard_until)
+        effects += self.admission.admit_waiting(now)
         self.flows.expire(now, IDLE_FLOW_TIMEOUT_S)
         if self.backend.notice_absence(now):
             effects += self._report_departure("", now)
@@ -271,6 +274,8 @@
         entry = self.flows.find(flow)
         if service != self.backend.service:
             return Holding.NO
+        if flow in self.admission.waiting:
+            return Holding.WAITING
         if entry is None or entry.probe_origin:
             is_certain = self.backend.knows_all_flows or self.backend.is_missing(now)
             return Holding.NO if is_certain else Holding.UNSURE
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -100,7 +100,8 @@
             return self._handle_hint(search, sender_name, body, now)
         if search is None or sender_name not in search.answers:
             return []
-        if body.holding in (Holding.YES, Holding.HALF_OPEN):
+        is_waiting = body.holding is Holding.WAITING and search.has_only_openings()
+        if body.holding in (Holding.YES, Holding.HALF_OPEN) or is_waiting:
             member = self.fleet.find(sender_name)
             if member is None:
                 return []
--- a/packages/fescueseam/src/fescueseam/handshake/load_averages.py
+++ b/packages/fescueseam/src/fescueseam/handshake/load_averages.py
@@ -16,6 +16,8 @@
 
     service_time_s: float = 0.0
     """Moving average of the service time, in seconds; 0 before the first answer."""
+    slot_time_s: float = 0.0
+    """The same without the time in the server's own queue, as far as the requests at work show."""
     utilisation: float = 0.0
     """Moving average of the share of busy slots."""
     _updated_at: float = 0.0
@@ -30,9 +32,11 @@
         self.utilisation = self.utilisation * decay + busy_share * (1 - decay)
         self._updated_at = now
 
-    def record_service_time(self, duration_s: float) -> None:
-        """Record the duration of an answered request."""
+    def record_service_time(self, duration_s: float, requests_per_slot: float = 1.0) -> None:
+        """Record the duration of an answered request, and how many were at work for each slot."""
+        slot_time_s = duration_s / max(1.0, requests_per_slot)
         if self.service_time_s == 0.0:
-            self.service_time_s = duration_s
+            self.service_time_s, self.slot_time_s = duration_s, slot_time_s
         else:
             self.service_time_s += (duration_s - self.service_time_s) * SERVICE_TIME_WEIGHT
+            self.slot_time_s += (slot_time_s - self.slot_time_s) * SERVICE_TIME_WEIGHT
--- a/packages/fescueseam/src/fescueseam/handshake/notices.py
+++ b/packages/fescueseam/src/fescueseam/handshake/notices.py
@@ -19,6 +19,8 @@
     balancer's reply uses it with the name of the agent that the balancer remembers."""
     HALF_OPEN = 3
     """The opening packet was delivered; the handshake is not complete."""
+    WAITING = 4
+    """The opening packet waits at the agent for a free slot and was not delivered."""
 
 
 @frozen
--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -10,6 +10,7 @@
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Deliver, Effects, Forward, LogEvent, SendNotice
 from fescueseam.handshake.flows import Flow, FlowTable
+from fescueseam.handshake.load_averages import LoadAverages
 from fescueseam.handshake.member import Availability, Identity
 from fescueseam.handshake.notices import Holding, Located
 from fescueseam.handshake.openings import (
@@ -26,10 +27,16 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.overload.admission import WAIT_STEPS
+from fescueseam.overload.waiting_room import ServerState, Waiter, WaitingRoom
 
 REASON_BUSY = "busy"
 """Reason for returning an opening packet while all slots are busy: the only reason that usually
 ends within a service time."""
+REASON_COLD = "cold"
+"""Reason for returning an opening packet while a cold backend server has had its bound."""
+REASON_NO_ROOM_IN_TIME = "no-room-in-time"
+"""Reason for returning an opening packet that may wait, but not until a slot is expected."""
 
 
 def return_packet(segment: Segment, service: str, origin: int, purpose: Purpose) -> Forward:
@@ -45,6 +52,7 @@
     own: Identity
     backend: BackendMonitor
     flows: FlowTable
+    averages: LoadAverages = field(factory=LoadAverages)
     outage: Outage = field(factory=Outage)
     cold_bounds: dict[str, float] = field(factory=dict)
     """Largest number of openings per second for a cold backend server, by service."""
@@ -52,10 +60,13 @@
     leaving: bool = False
     _delivered: OrderedDict[FlowId, DeliveredOpening] = field(factory=OrderedDict)
     """Openings that await the backend server's answer, in the order of delivery."""
+    waiting: WaitingRoom = field(factory=WaitingRoom)
+    """Openings that wait for a free slot."""
+    _waiting_segments: dict[FlowId, Segment] = field(factory=dict)
 
     def has_pending_work(self) -> bool:
-        """Return whether an opening packet awaits the backend server's answer."""
-        return bool(self._delivered)
+        """Return whether an opening waits or awaits the backend server's answer."""
+        return bool(self._delivered or self._waiting_segments)
 
     def take_delivered(self, flow: FlowId) -> DeliveredOpening | None:
         """Return and forget the opening of a flow that awaited an answer, if any."""
@@ -78,6 +89,8 @@
     def discard(self, flow: FlowId) -> None:
         """Drop a delivered opening. The flow table is kept: only this process holds it."""
         self._delivered.pop(flow, None)
+        self.waiting.remove(flow)
+        self._waiting_segments.pop(flow, None)
 
     def admit(self, segment: Segment, flow: FlowId, entry: Flow | None, now: float) -> Effects:
         """Deliver an opening packet to the backend server, or return it to its balancer."""
@@ -85,7 +98,13 @@
         if entry is not None and not entry.ended:
             # A retransmission of an opening packet that was delivered before.
             return [SendNotice(origin, Located(flow, Holding.YES)), Deliver(segment)]
+        if flow in self.waiting:
+            return [SendNotice(origin, Located(flow, Holding.WAITING))]
         reason = self.find_return_reason(segment.mark.purpose, now)
+        if not reason and self._must_wait(segment.mark, now):
+            reason = REASON_BUSY
+        if reason == REASON_BUSY and segment.mark.wait_step:
+            return self._hold(segment, flow, now)
         if reason:
             fields = {
                 "flow": format_flow(flow),
@@ -98,8 +117,106 @@
                 LogEvent("opening-returned", fields),
                 return_packet(segment, self.backend.service, origin, purpose),
             ]
-        if entry is not None:
-            self.flows.remove(flow)
+        self.waiting.record_taken(segment.mark.priority)
+        return self._deliver(segment, flow, now)
+
+    def admit_waiting(self, now: float) -> Effects:
+        """Deliver the openings that wait while slots are free, and return those without a use."""
+        if not self._waiting_segments:
+            return []
+        effects: Effects = []
+        reason = self.find_return_reason(Purpose.DELIVER_EVEN_IF_BUSY, now)
+        if reason not in ("", REASON_BUSY, REASON_COLD):
+            for waiter in self.waiting.remove_all():
+                effects += self._return_waiting(waiter, reason, now)
+            return effects
+        for waiter in self.waiting.remove_unusable(self._describe_server(now), now):
+            effects += self._return_waiting(waiter, REASON_NO_ROOM_IN_TIME, now)
+        while not self.find_return_reason(Purpose.DELIVER_EVEN_IF_BUSY, now):
+            state = self._describe_server(now)
+            next_waiter = None
+            if state.at_work < state.compute_delivery_limit():
+                next_waiter = self.waiting.take_next()
+            if next_waiter is None:
+                break
+            flow, segment = self._take_segment(next_waiter)
+            effects += self._deliver(segment, flow, now, now - next_waiter.arrived_at)
+        return effects
+
+    def _must_wait(self, mark: Mark, now: float) -> bool:
+        """Return whether an opening has to wait although the busy limit allows its delivery."""
+        if not mark.wait_step and mark.purpose is Purpose.DELIVER_EVEN_IF_BUSY:
+            return False
+        if self._waiting_segments:
+            return True
+        state = self._describe_server(now)
+        return bool(mark.wait_step) and state.at_work >= state.compute_delivery_limit()
+
+    def _hold(self, segment: Segment, flow: FlowId, now: float) -> Effects:
+        """Let an opening wait for a slot if one is expected in time; else return it."""
+        mark = segment.mark
+        step = WAIT_STEPS[mark.wait_step]
+        waiter = Waiter(flow, mark.priority, step.late, 0, now, now + step.wait_s)
+        state = self._describe_server(now)
+        decision = self.waiting.decide(waiter, state, now)
+        fields = {
+            "flow": format_flow(flow),
+            "priority": mark.priority,
+            "late": step.late,
+            "allowed_ms": round(1000 * step.wait_s),
+            "expected_ms": round(1000 * decision.wait_s),
+            "waiting": decision.waiting,
+            "busy": state.at_work,
+            "service_time_ms": round(1000 * state.service_time_s),
+        }
+        if not decision.holds:
+            fields["reason"] = REASON_NO_ROOM_IN_TIME
+            forward = return_packet(
+                segment, self.backend.service, mark.origin, Purpose.NO_FREE_SLOT
+            )
+            return [LogEvent("opening-returned", fields), forward]
+        displaced = self.waiting.add(waiter)
+        self._waiting_segments[flow] = segment
+        effects: Effects = [
+            LogEvent("opening-waits", fields),
+            SendNotice(mark.origin, Located(flow, Holding.WAITING)),
+        ]
+        if displaced is not None:
+            effects += self._return_waiting(displaced, REASON_NO_ROOM_IN_TIME, now)
+        return effects
+
+    def _return_waiting(self, waiter: Waiter, reason: str, now: float) -> Effects:
+        flow, segment = self._take_segment(waiter)
+        fields = {
+            "flow": format_flow(flow),
+            "reason": reason,
+            "waited_ms": round(1000 * (now - waiter.arrived_at)),
+            "busy": self.flows.count_at_work(now),
+        }
+        is_full = reason == REASON_NO_ROOM_IN_TIME
+        purpose = Purpose.NO_FREE_SLOT if is_full else Purpose.NOT_ADMITTING
+        origin = segment.mark.origin
+        forward = return_packet(segment, self.backend.service, origin, purpose)
+        return [LogEvent("opening-returned", fields), forward]
+
+    def _take_segment(self, waiter: Waiter) -> tuple[FlowId, Segment]:
+        segment = self._waiting_segments.pop(waiter.flow)
+        return waiter.flow, segment
+
+    def _describe_server(self, now: float) -> ServerState:
+        heartbeat = self.backend.last_heartbeat
+        return ServerState(
+            self.flows.count_at_work(now),
+            heartbeat.slots if heartbeat is not None else 1,
+            self.averages.slot_time_s,
+            self.backend.cold_start.is_cold(now),
+        )
+
+    def _deliver(
+        self, segment: Segment, flow: FlowId, now: float, waited_s: float = 0.0
+    ) -> Effects:
+        origin = segment.mark.origin
+        self.flows.remove(flow)
         self.flows.add(flow, now)
         self.backend.cold_start.record_opening(now)
         self._delivered[flow] = DeliveredOpening(segment, now)
@@ -107,6 +224,7 @@
             "flow": format_flow(flow),
             "backend": self.backend.last_heartbeat.name if self.backend.last_heartbeat else "",
             "busy": self.flows.busy,
+            "waited_ms": round(1000 * waited_s),
             "config": self.rules_version,
         }
         return [
@@ -141,7 +259,7 @@
         if not self.backend.cold_start.can_admit(
             bound if state_known else FALLBACK_OPENINGS_PER_S, now, state_known
         ):
-            return "cold"
+            return REASON_COLD
         slots = heartbeat.slots if heartbeat is not None else 1
         busy = self.flows.count_at_work(now)
         limit = slots * (
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -8,18 +8,18 @@
 from fescueseam.handshake.choice import choose_agent, is_agent_expected_soon
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendReset
-from fescueseam.handshake.free_slots import FreeSlotSearches
+from fescueseam.handshake.free_slots import OVERLOAD_OFFERS_LIMIT, FreeSlotSearches
 from fescueseam.handshake.homes import HomeTable
 from fescueseam.handshake.member import Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_TIMEOUT_S,
-    OFFER_TIMEOUT_S,
     REJECTED_BACKOFF_S,
     DeferredOpenings,
     OfferedOpenings,
     PendingOpening,
+    WaitSearch,
 )
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.segments import (
@@ -30,6 +30,14 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.overload.admission import (
+    IN_TIME_OFFERS_LIMIT,
+    WAIT_STEPS,
+    limit_priority,
+    plan_wait,
+)
+from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.waits import estimate_service_time_s
 
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
@@ -37,10 +45,17 @@
 
 
 def build_forward(
-    fleet: Fleet, segment: Segment, member: Member, service: str, purpose: Purpose
+    fleet: Fleet,
+    segment: Segment,
+    member: Member,
+    service: str,
+    purpose: Purpose,
+    wait_step: int = 0,
+    priority: int = 0,
 ) -> Forward:
     """Return the effect that forwards a packet to an agent."""
-    mark = Mark(purpose, compute_service_tag(service), fleet.own.address)
+    tag = compute_service_tag(service)
+    mark = Mark(purpose, tag, fleet.own.address, wait_step, priority)
     return Forward(member.identity.address, segment, mark)
 
 
@@ -56,6 +71,8 @@
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
+    wait_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
+    """Results of the searches for room to wait in time, by service and priority."""
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -68,7 +85,7 @@
         effects: Effects = []
         self.offered.expire(now)
         for flow, opening in list(self.offered.unanswered.items()):
-            if heard_until - opening.sent_at >= OFFER_TIMEOUT_S:
+            if opening.is_overdue(heard_until) or self._is_waiting_in_vain(opening, now):
                 effects += contain(
                     "offer-timeout",
                     partial(self._handle_offer_timeout, flow, opening, now),
@@ -118,11 +135,21 @@
         opening.tried_agents.add(opening.agent)
         opening.offers_left -= 1
         opening.sent_at = now
+        opening.waits_until = None
         member.flows_sent_since_report += 1
         self.offered.add(flow, opening)
         self.homes.remember(flow, opening.agent, opening.service, now)
         purpose = Purpose.DELIVER_EVEN_IF_BUSY if opening.even_if_busy else Purpose.DELIVER
-        forward = build_forward(self.fleet, opening.segment, member, opening.service, purpose)
+        step, priority = opening.wait_step, 0
+        if step:
+            needs = self.configuration.find_needs(flow)
+            priority = limit_priority(needs.priority) if needs is not None else 0
+            fields["wait_ms"] = round(1000 * WAIT_STEPS[step].wait_s)
+            fields["late"] = WAIT_STEPS[step].late
+            fields["priority"] = priority
+        forward = build_forward(
+            self.fleet, opening.segment, member, opening.service, purpose, step, priority
+        )
         return [LogEvent("flow-offered", fields), forward]
 
     def offer_elsewhere(self, flow: FlowId, agent_name: str, rejected: bool, now: float) -> Effects:
@@ -132,6 +159,12 @@
             return []
         self.offered.discard(flow)
         member = self.fleet.find(agent_name)
+        if opening.wait_step and not rejected:
+            # It has room for higher classes or shorter queues, as its answer is for this one only.
+            opening.wait_step = 0
+            opening.full_agents.add(agent_name)
+            return self._place_pending(opening, flow, now)
+        opening.wait_step = 0
         rejected = rejected or opening.even_if_busy
         if member is not None:
             member.busy_until = now + BUSY_BACKOFF_S
@@ -165,10 +198,17 @@
         return [LogEvent("opening-parked", fields)]
 
     def refuse(
-        self, segment: Segment, flow: FlowId, reason: str, now: float, service: str = ""
+        self,
+        segment: Segment,
+        flow: FlowId,
+        reason: str,
+        now: float,
+        service: str = "",
+        **inputs: object,
     ) -> Effects:
         """Reset an opening, or drop it if this process does not know enough to refuse it."""
         fields = {
+            **inputs,
             "flow": format_flow(flow),
             "service": service,
             "reason": reason,
@@ -186,9 +226,24 @@
         if opening.deferred_at is None:
             self.free_slot_searches.record(opening.service, opening.free_slot_offers_limit, found)
 
+    def record_wait_search(self, opening: PendingOpening, found: bool) -> None:
+        """Record whether an opening found room to wait in time."""
+        if opening.wait_search is not None:
+            self.wait_searches.record(opening.wait_search.key, opening.wait_search.limit, found)
+            opening.wait_search = None
+
     def _handle_offer_timeout(self, flow: FlowId, opening: PendingOpening, now: float) -> Effects:
         effects: Effects = []
+        if opening.waits_until is not None:
+            # Other openings show whether its agent still answers. If it was delivered without a
+            # notice, its flow ignores the reset of an opening once it is open.
+            opening.waits_until = None
+            fields = {"flow": format_flow(flow), "agent": opening.agent}
+            lost = LogEvent("waiting-opening-lost", fields)
+            return [lost, *self.offer_elsewhere(flow, opening.agent, True, now)]
         opening.was_unanswered = True
+        # Agents of earlier builds reject offers that allow a wait.
+        opening.can_wait = opening.can_wait and not opening.wait_step
         if self.fleet.record_unanswered(opening.agent, now):
             effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
         return effects + self.offer_elsewhere(flow, opening.agent, True, now)
@@ -202,19 +257,83 @@
         if opening.offers_left <= 0:
             return self._stop_offering(opening, flow, now)
         member = None
-        is_within_limit = len(opening.tried_agents) < opening.free_slot_offers_limit
+        limit = opening.free_slot_offers_limit
+        if limit == OVERLOAD_OFFERS_LIMIT and self.configuration.find_needs(flow) is not None:
+            # The offer that allows a wait takes a free slot as well.
+            limit = 0
+        is_within_limit = len(opening.tried_agents) < limit
         if not opening.even_if_busy and is_within_limit:
             member = self._choose_agent(opening.service, opening.tried_agents, now)
         if member is None:
             if not opening.even_if_busy:
                 self.record_free_slot_search(opening, False)
             opening.even_if_busy = True
+            needs = self.configuration.find_needs(flow)
+            if needs is not None and opening.can_wait:
+                return self._offer_wait(opening, flow, needs, now)
             member = self._choose_agent(opening.service, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
         return self.offer_to(member, opening, flow, now)
 
+    def _offer_wait(
+        self, opening: PendingOpening, flow: FlowId, needs: RouteNeeds, now: float
+    ) -> Effects:
+        """Ask an agent to let an opening wait for as long as its route's needs allow, or refuse."""
+        asked = opening.rejecting_agents | opening.full_agents
+        unasked = self._choose_agent(opening.service, asked, now)
+        member = unasked or self._choose_agent(opening.service, opening.rejecting_agents, now)
+        if member is None:
+            self.homes.pop(flow, None)
+            return self.defer_or_refuse(opening, flow, now)
+        if opening.in_time_offers_limit is None:
+            key = f"{opening.service}/{limit_priority(needs.priority)}"
+            opening.wait_search = WaitSearch(key, self.wait_searches.choose_limit(key))
+            opening.in_time_offers_limit = min(IN_TIME_OFFERS_LIMIT, opening.wait_search.limit)
+        if unasked is None:
+            opening.wait_offers = max(opening.wait_offers, opening.in_time_offers_limit)
+        elapsed_s = now - opening.opened_at
+        service_time_s = estimate_service_time_s(member.load.service_time_s, member.load.cold)
+        plan = plan_wait(
+            needs, service_time_s, elapsed_s, opening.wait_offers, opening.in_time_offers_limit
+        )
+        if not plan.step or WAIT_STEPS[plan.step].late:
+            self.record_wait_search(opening, False)
+        if plan.step:
+            opening.wait_step = plan.step
+            opening.wait_offers += 1
+            return self.offer_to(member, opening, flow, now)
+        self.homes.pop(flow, None)
+        if opening.was_unanswered:
+            # An agent that did not answer may have delivered it.
+            fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
+            return [LogEvent("opening-dropped", fields)]
+        return self.refuse(
+            opening.segment,
+            flow,
+            plan.reason,
+            now,
+            opening.service,
+            elapsed_ms=round(1000 * elapsed_s),
+            service_time_ms=round(1000 * service_time_s),
+            target_ms=round(1000 * needs.target_s),
+            limit_ms=round(1000 * needs.limit_s),
+            priority=needs.priority,
+            asked=sorted(opening.full_agents),
+        )
+
+    def _is_waiting_in_vain(self, opening: PendingOpening, now: float) -> bool:
+        """Return whether the agent at which an opening waits is lost."""
+        if opening.waits_until is None:
+            return False
+        member = self.fleet.find(opening.agent)
+        return (
+            member is None
+            or member.unanswered_at is not None
+            or self.fleet.is_unreachable(member, now)
+        )
+
     def _stop_offering(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         self.homes.pop(flow, None)
         if opening.deferred_at is not None or not opening.was_unanswered:
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -3,10 +3,11 @@
 import heapq
 from collections import OrderedDict
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fescueseam.handshake.free_slots import FREE_SLOT_OFFERS_LIMIT
 from fescueseam.handshake.segments import FlowId, Segment
+from fescueseam.overload.admission import LONGEST_WAIT_S, WAIT_STEPS
 
 OFFER_TIMEOUT_S = 0.06
 """Longest time to wait for an agent's answer to an offered opening, in seconds. Then the opening is
@@ -37,6 +38,10 @@
 balancer's share of the new flows."""
 DEFERRED_LIMIT = 2048
 """Largest number of deferred openings; callers retry those beyond it."""
+WAIT_ANSWER_MARGIN_S = 0.1
+"""Time beyond the allowed wait after which a waiting opening counts as unanswered, in seconds."""
+ATTEMPT_DELAYS_S = (0.0, 0.2, 0.6)
+"""Times after the first packet of an opening at which callers retransmit it, in seconds."""
 BUSY_BACKOFF_S = 0.06
 """Time for which other agents are preferred to one without a free slot, in seconds: about a service
 time."""
@@ -54,6 +59,14 @@
     delivered_at: float
 
 
+@frozen
+class WaitSearch:
+    """Service and priority for which agents are asked for room to wait, and how many at most."""
+
+    key: str
+    limit: int
+
+
 @define(eq=False)
 class PendingOpening:
     """An opening packet whose caller has not answered the handshake yet."""
@@ -80,6 +93,38 @@
     """Whether an agent has left an offer unanswered, so that an answer may only have been lost."""
     deferred_at: float | None = None
     """Time at which it was first deferred; None before that."""
+    opened_at: float = field()
+    """Time at which its caller sent the first packet, as far as the attempt tells it."""
+    can_wait: bool = True
+    """Whether an agent may be asked to let it wait; not if an agent may be of an earlier build."""
+    wait_step: int = 0
+    """Number of the wait that the last offer allows; 0 if it allows none."""
+    wait_offers: int = 0
+    """Number of offers that allowed a wait."""
+    in_time_offers_limit: int | None = None
+    """Number of agents that are asked to let it wait within its target; None before the first."""
+    wait_search: WaitSearch | None = None
+    """Search for room to wait whose result was not recorded yet."""
+    full_agents: set[str] = field(factory=set)
+    """Names of the agents that had no room to let it wait."""
+    waits_until: float | None = None
+    """Time until which the agent's final answer is awaited, once it has said that it waits."""
+
+    @opened_at.default
+    def _compute_opened_at(self) -> float:
+        attempt = min(self.segment.attempt, len(ATTEMPT_DELAYS_S) - 1)
+        return self.sent_at - ATTEMPT_DELAYS_S[attempt]
+
+    def record_waiting(self, now: float) -> None:
+        """Record that its agent lets it wait."""
+        wait_s = WAIT_STEPS[self.wait_step].wait_s or LONGEST_WAIT_S
+        self.waits_until = now + wait_s + WAIT_ANSWER_MARGIN_S
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the agent should have answered the last offer."""
+        if self.waits_until is not None:
+            return now >= self.waits_until
+        return now - self.sent_at >= OFFER_TIMEOUT_S
 
     def reset_for_retry(self) -> None:
         """Forget earlier attempts, before a deferred opening is placed again."""
@@ -88,6 +133,9 @@
         # It has waited longer than for a slot already.
         self.even_if_busy = True
         self.offers_left = DEFERRED_OFFERS_LIMIT
+        self.wait_offers = 0
+        self.in_time_offers_limit = None
+        self.full_agents.clear()
 
 
 @define(eq=False)
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -123,6 +123,11 @@
         """Return the route for a flow's service address and port."""
         return self._routes.get((flow[2], flow[3]))
 
+    def find_needs(self, flow: FlowId) -> RouteNeeds | None:
+        """Return what the callers of a flow's route need; None if that is not configured."""
+        route = self.find_route(flow)
+        return None if route is None else route.needs
+
     def choose_service(self, flow: FlowId) -> str | None:
         """Return the service of a new flow, chosen by the flow's hash if the route has several."""
         route = self.find_route(flow)
--- a/packages/fescueseam/src/fescueseam/handshake/segments.py
+++ b/packages/fescueseam/src/fescueseam/handshake/segments.py
@@ -44,6 +44,10 @@
     """16 bits of a hash of the service name."""
     origin: int = 0
     """Address of the balancer that received the packet from the caller."""
+    wait_step: int = 0
+    """Number of the wait that an offer of an opening allows (`overload.admission.WAIT_STEPS`)."""
+    priority: int = 0
+    """Priority by which an opening waits."""
 
 
 NO_MARK = Mark()
--- a/packages/fescueseam/src/fescueseam/overload/waits.py
+++ b/packages/fescueseam/src/fescueseam/overload/waits.py
@@ -34,8 +34,12 @@
     `requests_ahead` counts the requests at work, those that wait and those offered there.
     """
     slots = max(1, slots)
-    requests_to_end = max(0.0, requests_ahead - slots + 1)
-    return requests_to_end * estimate_service_time_s(service_time_s, cold) / slots
+    requests_to_end = requests_ahead - slots + 1
+    if requests_to_end <= 0:
+        return 0.0
+    # The requests at work have been there for a while: the first ends sooner than the others.
+    service_times = min(1.0, requests_to_end) / (slots + 1) + max(0.0, requests_to_end - 1) / slots
+    return service_times * estimate_service_time_s(service_time_s, cold)
 
 
 def compute_allowed_wait_s(time_s: float, service_time_s: float, elapsed_s: float = 0.0) -> float:
