Let the openings that wait go by what their callers got lately

With ten callers who ask for 30 requests a second beside one who asks for 100, of a room of 80, the one got as much of its requests as they did. Agents now count what each caller address got and order by it the openings that wait.

--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -28,6 +28,7 @@
     format_flow,
 )
 from fescueseam.overload.admission import WAIT_STEPS
+from fescueseam.overload.shares import CallerShares
 from fescueseam.overload.waiting_room import ServerState, Waiter, WaitingRoom
 
 REASON_BUSY = "busy"
@@ -62,6 +63,8 @@
     """Openings that await the backend server's answer, in the order of delivery."""
     waiting: WaitingRoom = field(factory=WaitingRoom)
     """Openings that wait for a free slot."""
+    shares: CallerShares = field(factory=CallerShares)
+    """What callers got lately, which orders the openings that wait."""
     _waiting_segments: dict[FlowId, Segment] = field(factory=dict)
 
     def has_pending_work(self) -> bool:
@@ -156,12 +159,15 @@
         """Let an opening wait for a slot if one is expected in time; else return it."""
         mark = segment.mark
         step = WAIT_STEPS[mark.wait_step]
-        waiter = Waiter(flow, mark.priority, step.late, 0, now, now + step.wait_s)
+        caller = flow[0]
+        rank = self.shares.compute_rank(caller, self.waiting.count_of_caller(caller), now)
+        waiter = Waiter(flow, mark.priority, step.late, rank, now, now + step.wait_s)
         state = self._describe_server(now)
         decision = self.waiting.decide(waiter, state, now)
         fields = {
             "flow": format_flow(flow),
             "priority": mark.priority,
+            "caller_rank": rank,
             "late": step.late,
             "allowed_ms": round(1000 * step.wait_s),
             "expected_ms": round(1000 * decision.wait_s),
@@ -218,6 +224,7 @@
         origin = segment.mark.origin
         self.flows.remove(flow)
         self.flows.add(flow, now)
+        self.shares.record(flow[0], now)
         self.backend.cold_start.record_opening(now)
         self._delivered[flow] = DeliveredOpening(segment, now)
         fields = {
--- a/packages/fescueseam/src/fescueseam/overload/waiting_room.py
+++ b/packages/fescueseam/src/fescueseam/overload/waiting_room.py
@@ -1,6 +1,7 @@
 """Openings that wait beside one backend server: which are let in, and which goes next."""
 
 import math
+from operator import attrgetter
 
 from attrs import define, field, frozen
 
@@ -54,12 +55,18 @@
     arrived_at: float
     usable_until: float
     """Time until which it has to be delivered."""
+    order: tuple[int, bool, int, float] = field(init=False)
+    """Sort key of the order in which openings go."""
 
-    def compute_order(self) -> tuple[int, bool, int, float]:
-        """Return the sort key of the order in which openings go."""
+    @order.default
+    def _compute_order(self) -> tuple[int, bool, int, float]:
         return (self.priority, self.late, self.rank, self.arrived_at)
 
 
+get_order = attrgetter("order")
+"""Returns the sort key of a waiting opening."""
+
+
 @frozen
 class HoldDecision:
     """Whether an opening may wait, and the expected wait behind the decision."""
@@ -93,18 +100,23 @@
 
     def decide(self, waiter: Waiter, state: ServerState, now: float) -> HoldDecision:
         """Return whether an opening may wait; it may if a slot is expected while it is usable."""
-        wait_s = self._estimate_wait_s(waiter, state)
+        group = waiter.order[:2]
+        higher = own = 0
+        for item in self._waiters.values():
+            higher += item.order[:2] < group
+            own += item.order[:2] == group and item.order < waiter.order
+        wait_s = self._estimate_wait_s(waiter, higher, own, state)
         holds = wait_s <= waiter.usable_until - now
         if holds and len(self._waiters) >= WAITING_LIMIT:
-            last = max(self._waiters.values(), key=Waiter.compute_order)
-            holds = waiter.compute_order() < last.compute_order()
+            last = max(self._waiters.values(), key=get_order)
+            holds = waiter.order < last.order
         return HoldDecision(holds, wait_s, len(self._waiters))
 
     def add(self, waiter: Waiter) -> Waiter | None:
         """Let an opening wait; return the one that it displaces if the room is full."""
         displaced = None
         if len(self._waiters) >= WAITING_LIMIT:
-            displaced = max(self._waiters.values(), key=Waiter.compute_order)
+            displaced = max(self._waiters.values(), key=get_order)
             del self._waiters[displaced.flow]
         self._waiters[waiter.flow] = waiter
         return displaced
@@ -122,15 +134,24 @@
     def remove_unusable(self, state: ServerState, now: float) -> list[Waiter]:
         """Remove and return the openings that are not expected to get a slot in time."""
         unusable = []
-        # From the last one on, so that those who stay do not wait for those who are removed.
-        for waiter in sorted(self._waiters.values(), key=Waiter.compute_order, reverse=True):
+        group: tuple[int, bool] | None = None
+        kept = higher = 0
+        for waiter in sorted(self._waiters.values(), key=get_order):
+            if waiter.order[:2] != group:
+                group, higher = waiter.order[:2], kept
             remaining_s = waiter.usable_until - now
-            wait_s = self._estimate_wait_s(waiter, state)
+            wait_s = self._estimate_wait_s(waiter, higher, kept - higher, state)
             if remaining_s <= 0 or wait_s > UNUSABLE_FACTOR * remaining_s:
                 del self._waiters[waiter.flow]
                 unusable.append(waiter)
+            else:
+                kept += 1
         return unusable
 
+    def count_of_caller(self, caller: int) -> int:
+        """Return how many openings of a caller address wait."""
+        return sum(flow[0] == caller for flow in self._waiters)
+
     def take_next(self) -> Waiter | None:
         """Remove and return the opening that gets the next free slot."""
         if not self._waiters:
@@ -145,7 +166,7 @@
             self._credits[item] = min(1.0, self._credits[item] + LOWER_CLASS_SHARE)
         self._credits[priority] = 0.0
         candidates = [item for item in self._waiters.values() if item.priority == priority]
-        waiter = min(candidates, key=Waiter.compute_order)
+        waiter = min(candidates, key=get_order)
         del self._waiters[waiter.flow]
         self.record_taken(waiter.priority, waiter.late)
         return waiter
@@ -157,14 +178,9 @@
         for item, share in self._taken_shares.items():
             self._taken_shares[item] = share + (float(item == taken) - share) * TAKEN_WEIGHT
 
-    def _estimate_wait_s(self, waiter: Waiter, state: ServerState) -> float:
-        order = waiter.compute_order()
-        group = order[:2]
-        higher = own = 0
-        for item in self._waiters.values():
-            other = item.compute_order()
-            higher += other[:2] < group
-            own += other[:2] == group and other < order
+    def _estimate_wait_s(self, waiter: Waiter, higher: int, own: int, state: ServerState) -> float:
+        """Return the expected wait behind some of higher groups and some of its own group."""
+        group = waiter.order[:2]
         # Openings of higher classes that come later go first too.
         share = 1.0 - sum(item for other, item in self._taken_shares.items() if other < group)
         # It is delivered while the last requests before it are still at work.
