Tell tries after a refusal from first ones, and order the way back

After a refusal or an outage all callers came back at once and were placed alike: retries asked as many agents as first tries, and deferred openings went oldest first although their callers could no longer use them.

--- a/packages/fescueseam/src/fescueseam/handshake/free_slots.py
+++ b/packages/fescueseam/src/fescueseam/handshake/free_slots.py
@@ -36,6 +36,11 @@
             return FREE_SLOT_OFFERS_LIMIT
         return OVERLOAD_OFFERS_LIMIT
 
+    def is_overloaded(self, service: str) -> bool:
+        """Return whether nearly all recent searches found nothing."""
+        state = self._services.get(service)
+        return state is not None and state.share_without_slot >= OVERLOAD_SHARE
+
     def record(self, service: str, limit: int, found: bool) -> None:
         """Record whether an opening with a limit found a free slot; only full searches count."""
         if limit < FREE_SLOT_OFFERS_LIMIT:
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -32,13 +32,18 @@
 )
 from fescueseam.overload.admission import (
     IN_TIME_OFFERS_LIMIT,
+    REASON_LIMIT,
     WAIT_STEPS,
     limit_priority,
     plan_wait,
 )
 from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.refusals import RefusalMemory, RetryLimits
+from fescueseam.overload.return_order import ReturnOrder, compute_return_order
 from fescueseam.overload.waits import estimate_service_time_s
 
+REASON_RETRY_BUDGET = "retry-budget"
+"""Reason for refusing a try after a refusal in a shortage, of which enough are placed."""
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
 within a few report intervals."""
@@ -73,6 +78,8 @@
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     wait_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     """Results of the searches for room to wait in time, by service and priority."""
+    refusals: RefusalMemory = field(factory=RefusalMemory)
+    retry_limits: RetryLimits = field(factory=RetryLimits)
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -96,7 +103,18 @@
     def retry_deferred(self, now: float, discard_flow: Callable[[FlowId], None]) -> Effects:
         """Place the deferred openings that are due."""
         effects: Effects = []
-        for flow, opening in self.deferred.take_due(now):
+        orders: dict[FlowId, ReturnOrder] = {}
+        for flow, opening in list(self.deferred.items()):
+            needs = self.configuration.find_needs(flow)
+            order = compute_return_order(
+                needs, 0.0, now - opening.requested_at, opening.deferred_at or now
+            )
+            if order is not None:
+                orders[flow] = order
+                continue
+            del self.deferred[flow]
+            effects += self._refuse_request(opening, flow, REASON_LIMIT, now)
+        for flow, opening in self.deferred.take_due(now, orders):
             effects += contain(
                 "deferred-retry",
                 partial(self._place_pending, opening, flow, now),
@@ -115,6 +133,14 @@
         """Start to place the opening of a new flow."""
         opening = PendingOpening(segment, service, "", now, set(excluded), set(excluded))
         opening.free_slot_offers_limit = self.free_slot_searches.choose_limit(service)
+        if segment.attempt == 0:
+            first_try_at = self.refusals.take_first_try(flow, now)
+            opening.is_retry = first_try_at is not None
+            needs = self.configuration.find_needs(flow)
+            if first_try_at is not None and needs is not None:
+                # Past its limit it is more likely another request of the same caller.
+                is_past_limit = now - first_try_at >= needs.limit_s
+                opening.requested_at = opening.requested_at if is_past_limit else first_try_at
         return self._place_pending(opening, flow, now)
 
     def offer_to(
@@ -204,6 +230,7 @@
         reason: str,
         now: float,
         service: str = "",
+        requested_at: float | None = None,
         **inputs: object,
     ) -> Effects:
         """Reset an opening, or drop it if this process does not know enough to refuse it."""
@@ -219,6 +246,9 @@
         )
         if segment.attempt > 0 or not can_refuse:
             return [LogEvent("opening-dropped", fields)]
+        if self.configuration.find_needs(flow) is not None and reason != REASON_LIMIT:
+            # After its limit a caller has no use for another try.
+            self.refusals.record(flow, now if requested_at is None else requested_at, now)
         return [LogEvent("flow-refused", fields), SendReset(segment)]
 
     def record_free_slot_search(self, opening: PendingOpening, found: bool) -> None:
@@ -291,12 +321,23 @@
             key = f"{opening.service}/{limit_priority(needs.priority)}"
             opening.wait_search = WaitSearch(key, self.wait_searches.choose_limit(key))
             opening.in_time_offers_limit = min(IN_TIME_OFFERS_LIMIT, opening.wait_search.limit)
+            is_shortage = (
+                self.wait_searches.is_overloaded(key) and opening.in_time_offers_limit == 1
+            )
+            if not self.retry_limits.allows(flow[0], opening.is_retry, is_shortage):
+                self.homes.pop(flow, None)
+                return self._refuse_request(opening, flow, REASON_RETRY_BUDGET, now)
         if unasked is None:
             opening.wait_offers = max(opening.wait_offers, opening.in_time_offers_limit)
-        elapsed_s = now - opening.opened_at
+        elapsed_s = now - opening.requested_at
         service_time_s = estimate_service_time_s(member.load.service_time_s, member.load.cold)
         plan = plan_wait(
-            needs, service_time_s, elapsed_s, opening.wait_offers, opening.in_time_offers_limit
+            needs,
+            service_time_s,
+            elapsed_s,
+            now - opening.opened_at,
+            opening.wait_offers,
+            opening.in_time_offers_limit,
         )
         if not plan.step or WAIT_STEPS[plan.step].late:
             self.record_wait_search(opening, False)
@@ -309,18 +350,30 @@
             # An agent that did not answer may have delivered it.
             fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
             return [LogEvent("opening-dropped", fields)]
+        return self._refuse_request(opening, flow, plan.reason, now, service_time_s)
+
+    def _refuse_request(
+        self,
+        opening: PendingOpening,
+        flow: FlowId,
+        reason: str,
+        now: float,
+        service_time_s: float = 0.0,
+    ) -> Effects:
+        """Refuse an opening by what its route needs, and log the inputs of this decision."""
+        needs = self.configuration.find_needs(flow)
+        inputs: dict[str, object] = {
+            "elapsed_ms": round(1000 * (now - opening.requested_at)),
+            "service_time_ms": round(1000 * service_time_s),
+            "asked": sorted(opening.full_agents),
+            "retry": opening.is_retry,
+        }
+        if needs is not None:
+            inputs["target_ms"] = round(1000 * needs.target_s)
+            inputs["limit_ms"] = round(1000 * needs.limit_s)
+            inputs["priority"] = needs.priority
         return self.refuse(
-            opening.segment,
-            flow,
-            plan.reason,
-            now,
-            opening.service,
-            elapsed_ms=round(1000 * elapsed_s),
-            service_time_ms=round(1000 * service_time_s),
-            target_ms=round(1000 * needs.target_s),
-            limit_ms=round(1000 * needs.limit_s),
-            priority=needs.priority,
-            asked=sorted(opening.full_agents),
+            opening.segment, flow, reason, now, opening.service, opening.requested_at, **inputs
         )
 
     def _is_waiting_in_vain(self, opening: PendingOpening, now: float) -> bool:
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -8,6 +8,7 @@
 from fescueseam.handshake.free_slots import FREE_SLOT_OFFERS_LIMIT
 from fescueseam.handshake.segments import FlowId, Segment
 from fescueseam.overload.admission import LONGEST_WAIT_S, WAIT_STEPS
+from fescueseam.overload.return_order import ReturnOrder
 
 OFFER_TIMEOUT_S = 0.06
 """Longest time to wait for an agent's answer to an offered opening, in seconds. Then the opening is
@@ -95,6 +96,10 @@
     """Time at which it was first deferred; None before that."""
     opened_at: float = field()
     """Time at which its caller sent the first packet, as far as the attempt tells it."""
+    requested_at: float = field()
+    """Time of the first try of its request, as far as it is known."""
+    is_retry: bool = False
+    """Whether it follows a refusal of an earlier try."""
     can_wait: bool = True
     """Whether an agent may be asked to let it wait; not if an agent may be of an earlier build."""
     wait_step: int = 0
@@ -115,6 +120,10 @@
         attempt = min(self.segment.attempt, len(ATTEMPT_DELAYS_S) - 1)
         return self.sent_at - ATTEMPT_DELAYS_S[attempt]
 
+    @requested_at.default
+    def _get_opened_at(self) -> float:
+        return self.opened_at
+
     def record_waiting(self, now: float) -> None:
         """Record that its agent lets it wait."""
         wait_s = WAIT_STEPS[self.wait_step].wait_s or LONGEST_WAIT_S
@@ -191,16 +200,17 @@
         """Return whether one more opening may be deferred."""
         return len(self) < DEFERRED_LIMIT
 
-    def take_due(self, now: float) -> list[tuple[FlowId, PendingOpening]]:
-        """Remove and return the openings to be retried now.
+    def take_due(
+        self, now: float, orders: dict[FlowId, ReturnOrder]
+    ) -> list[tuple[FlowId, PendingOpening]]:
+        """Remove and return the openings to be retried now, the first in a given order.
 
-        Only a few are retried at a time, the oldest first: their outcome shows whether agents
-        accept flows again.
+        Only a few are retried at a time: their outcome shows whether agents accept flows again.
         """
-        oldest = heapq.nsmallest(
-            DEFERRED_RETRIES_PER_TICK, self.items(), key=lambda item: item[1].deferred_at or now
+        first = heapq.nsmallest(
+            DEFERRED_RETRIES_PER_TICK, self.items(), key=lambda item: orders[item[0]]
         )
-        due = [item for item in oldest if now - item[1].sent_at >= DEFERRED_RETRY_INTERVAL_S]
+        due = [item for item in first if now - item[1].sent_at >= DEFERRED_RETRY_INTERVAL_S]
         for flow, opening in due:
             del self[flow]
             opening.reset_for_retry()
--- a/packages/fescueseam/src/fescueseam/overload/admission.py
+++ b/packages/fescueseam/src/fescueseam/overload/admission.py
@@ -58,10 +58,14 @@
     needs: RouteNeeds,
     service_time_s: float,
     elapsed_s: float,
+    attempt_s: float,
     offers_made: int,
     in_time_offers_limit: int = IN_TIME_OFFERS_LIMIT,
 ) -> WaitPlan:
-    """Return which wait to allow at an agent, after some offers that ended without room."""
+    """Return which wait to allow at an agent, after some offers that ended without room.
+
+    `elapsed_s` counts from the first try of the request, `attempt_s` from the opening of this one.
+    """
     outlook = assess_wait(0.0, service_time_s, needs, elapsed_s)
     if outlook is Outlook.TOO_LATE:
         return WaitPlan(0, outlook, REASON_LIMIT)
@@ -73,7 +77,7 @@
     if offers_made < in_time_offers_limit + LATE_OFFERS_LIMIT:
         allowed_s = min(
             compute_allowed_wait_s(needs.limit_s, service_time_s, elapsed_s),
-            OPENING_WAIT_LIMIT_S - elapsed_s,
+            OPENING_WAIT_LIMIT_S - attempt_s,
         )
         step = _choose_step(allowed_s, late=True)
         if step:
