--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -118,12 +118,12 @@
         if opening is not None and body.holding is Holding.WAITING:
             if opening.agent == sender_name:
                 opening.record_waiting(now)
-                self.placement.record_wait_search(opening, True)
+                self.placement.waits.record_search(opening, True)
             return []
         if opening is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
             if opening.agent == sender_name and flow in self.offered.unanswered:
                 self.offered.record_delivery(flow, now)
-                self.placement.record_wait_search(opening, True)
+                self.placement.waits.record_search(opening, True)
                 if not opening.even_if_busy:
                     self.placement.record_free_slot_search(opening, True)
             return []
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -19,7 +19,6 @@
     DeferredOpenings,
     OfferedOpenings,
     PendingOpening,
-    WaitSearch,
 )
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.segments import (
@@ -30,20 +29,16 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.handshake.wait_planning import WaitPlanner
 from fescueseam.overload.admission import (
-    IN_TIME_OFFERS_LIMIT,
     REASON_LIMIT,
     WAIT_STEPS,
     limit_priority,
-    plan_wait,
 )
 from fescueseam.overload.needs import RouteNeeds
-from fescueseam.overload.refusals import RefusalMemory, RetryLimits
 from fescueseam.overload.return_order import ReturnOrder, compute_return_order
 from fescueseam.overload.waits import estimate_service_time_s
 
-REASON_RETRY_BUDGET = "retry-budget"
-"""Reason for refusing a try after a refusal in a shortage, of which enough are placed."""
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
 within a few report intervals."""
@@ -76,10 +71,7 @@
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
-    wait_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
-    """Results of the searches for room to wait in time, by service and priority."""
-    refusals: RefusalMemory = field(factory=RefusalMemory)
-    retry_limits: RetryLimits = field(factory=RetryLimits)
+    waits: WaitPlanner = field(factory=WaitPlanner)
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -133,14 +125,9 @@
         """Start to place the opening of a new flow."""
         opening = PendingOpening(segment, service, "", now, set(excluded), set(excluded))
         opening.free_slot_offers_limit = self.free_slot_searches.choose_limit(service)
-        if segment.attempt == 0:
-            first_try_at = self.refusals.take_first_try(flow, now)
-            opening.is_retry = first_try_at is not None
-            needs = self.configuration.find_needs(flow)
-            if first_try_at is not None and needs is not None:
-                # Past its limit it is more likely another request of the same caller.
-                is_past_limit = now - first_try_at >= needs.limit_s
-                opening.requested_at = opening.requested_at if is_past_limit else first_try_at
+        needs = self.configuration.find_needs(flow)
+        if needs is not None:
+            self.waits.recognise_retry(opening, flow, needs, now)
         return self._place_pending(opening, flow, now)
 
     def offer_to(
@@ -248,7 +235,7 @@
             return [LogEvent("opening-dropped", fields)]
         if self.configuration.find_needs(flow) is not None and reason != REASON_LIMIT:
             # After its limit a caller has no use for another try.
-            self.refusals.record(flow, now if requested_at is None else requested_at, now)
+            self.waits.refusals.record(flow, now if requested_at is None else requested_at, now)
         return [LogEvent("flow-refused", fields), SendReset(segment)]
 
     def record_free_slot_search(self, opening: PendingOpening, found: bool) -> None:
@@ -256,12 +243,6 @@
         if opening.deferred_at is None:
             self.free_slot_searches.record(opening.service, opening.free_slot_offers_limit, found)
 
-    def record_wait_search(self, opening: PendingOpening, found: bool) -> None:
-        """Record whether an opening found room to wait in time."""
-        if opening.wait_search is not None:
-            self.wait_searches.record(opening.wait_search.key, opening.wait_search.limit, found)
-            opening.wait_search = None
-
     def _handle_offer_timeout(self, flow: FlowId, opening: PendingOpening, now: float) -> Effects:
         effects: Effects = []
         if opening.waits_until is not None:
@@ -317,30 +298,8 @@
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
-        if opening.in_time_offers_limit is None:
-            key = f"{opening.service}/{limit_priority(needs.priority)}"
-            opening.wait_search = WaitSearch(key, self.wait_searches.choose_limit(key))
-            opening.in_time_offers_limit = min(IN_TIME_OFFERS_LIMIT, opening.wait_search.limit)
-            is_shortage = (
-                self.wait_searches.is_overloaded(key) and opening.in_time_offers_limit == 1
-            )
-            if not self.retry_limits.allows(flow[0], opening.is_retry, is_shortage):
-                self.homes.pop(flow, None)
-                return self._refuse_request(opening, flow, REASON_RETRY_BUDGET, now)
-        if unasked is None:
-            opening.wait_offers = max(opening.wait_offers, opening.in_time_offers_limit)
-        elapsed_s = now - opening.requested_at
         service_time_s = estimate_service_time_s(member.load.service_time_s, member.load.cold)
-        plan = plan_wait(
-            needs,
-            service_time_s,
-            elapsed_s,
-            now - opening.opened_at,
-            opening.wait_offers,
-            opening.in_time_offers_limit,
-        )
-        if not plan.step or WAIT_STEPS[plan.step].late:
-            self.record_wait_search(opening, False)
+        plan = self.waits.plan(opening, flow, needs, service_time_s, unasked is not None, now)
         if plan.step:
             opening.wait_step = plan.step
             opening.wait_offers += 1
--- a/packages/fescueseam/src/fescueseam/overload/admission.py
+++ b/packages/fescueseam/src/fescueseam/overload/admission.py
@@ -43,6 +43,8 @@
 """Reason for refusing an opening that cannot meet its time limit anywhere."""
 REASON_NO_ROOM = "no-room-in-time"
 """Reason for refusing an opening for which no agent that was asked has room in time."""
+REASON_RETRY_BUDGET = "retry-budget"
+"""Reason for refusing a try after a refusal in a shortage, of which enough are placed."""
 
 
 @frozen
