Keep servers free of lower classes while a higher one misses its target

An agent also delivers no request beyond its slots where requests are long, because it would wait in the server behind one of them.

Ruled out: rate limits of the cheap class, and reserves agreed by reports; see docs/design/hard-load.md.

--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -123,7 +123,7 @@
         if opening is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
             if opening.agent == sender_name and flow in self.offered.unanswered:
                 self.offered.record_delivery(flow, now)
-                self.placement.waits.record_search(opening, True)
+                self.placement.record_delivery(opening, flow, now)
                 if not opening.even_if_busy:
                     self.placement.record_free_slot_search(opening, True)
             return []
--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -120,7 +120,9 @@
                 LogEvent("opening-returned", fields),
                 return_packet(segment, self.backend.service, origin, purpose),
             ]
-        self.waiting.record_taken(segment.mark.priority)
+        step = segment.mark.wait_step
+        if step:
+            self.waiting.record_taken(segment.mark.priority, WAIT_STEPS[step].late)
         return self._deliver(segment, flow, now)
 
     def admit_waiting(self, now: float) -> Effects:
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -160,6 +160,7 @@
             fields["wait_ms"] = round(1000 * WAIT_STEPS[step].wait_s)
             fields["late"] = WAIT_STEPS[step].late
             fields["priority"] = priority
+            fields["kept_free"] = len(self._find_reserved(flow, opening.service, now))
         forward = build_forward(
             self.fleet, opening.segment, member, opening.service, purpose, step, priority
         )
@@ -274,7 +275,7 @@
             limit = 0
         is_within_limit = len(opening.tried_agents) < limit
         if not opening.even_if_busy and is_within_limit:
-            member = self._choose_agent(opening.service, opening.tried_agents, now)
+            member = self._choose_agent(flow, opening.service, opening.tried_agents, now)
         if member is None:
             if not opening.even_if_busy:
                 self.record_free_slot_search(opening, False)
@@ -282,7 +283,7 @@
             needs = self.configuration.find_needs(flow)
             if needs is not None and opening.can_wait:
                 return self._offer_wait(opening, flow, needs, now)
-            member = self._choose_agent(opening.service, opening.rejecting_agents, now)
+            member = self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
@@ -293,8 +294,8 @@
     ) -> Effects:
         """Ask an agent to let an opening wait for as long as its route's needs allow, or refuse."""
         asked = opening.rejecting_agents | opening.full_agents
-        unasked = self._choose_agent(opening.service, asked, now)
-        member = unasked or self._choose_agent(opening.service, opening.rejecting_agents, now)
+        unasked = self._choose_agent(flow, opening.service, asked, now)
+        member = unasked or self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
@@ -311,6 +312,13 @@
             return [LogEvent("opening-dropped", fields)]
         return self._refuse_request(opening, flow, plan.reason, now, service_time_s)
 
+    def record_delivery(self, opening: PendingOpening, flow: FlowId, now: float) -> None:
+        """Record that an opening got a slot."""
+        self.waits.record_search(opening, True)
+        needs = self.configuration.find_needs(flow)
+        if needs is not None:
+            self.waits.record_outcome(opening, needs, now)
+
     def _refuse_request(
         self,
         opening: PendingOpening,
@@ -328,6 +336,7 @@
             "retry": opening.is_retry,
         }
         if needs is not None:
+            self.waits.record_outcome(opening, needs, now, refused=True)
             inputs["target_ms"] = round(1000 * needs.target_s)
             inputs["limit_ms"] = round(1000 * needs.limit_s)
             inputs["priority"] = needs.priority
@@ -354,7 +363,26 @@
         fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
         return [LogEvent("opening-dropped", fields)]
 
-    def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
+    def _choose_agent(
+        self, flow: FlowId, service: str, excluded: set[str], now: float
+    ) -> Member | None:
+        reserved = self._find_reserved(flow, service, now)
+        return self._choose_any_agent(service, excluded | reserved, now)
+
+    def _find_reserved(self, flow: FlowId, service: str, now: float) -> set[str]:
+        """Return the agents that are kept free of the class of a flow."""
+        needs = self.configuration.find_needs(flow)
+        if needs is None:
+            return set()
+        priority = limit_priority(needs.priority)
+        if not self.waits.reserves.compute_share(service, priority, now):
+            return set()
+        agents = [item.identity.name for item in self.fleet.list_agents((service,))]
+        reserved = self.waits.reserves.select_reserved(service, priority, agents, now)
+        # Where no other agent is eligible, the class would get nothing at all.
+        return reserved if self._choose_any_agent(service, reserved, now) is not None else set()
+
+    def _choose_any_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
         return choose_agent(
             self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
         )
--- a/packages/fescueseam/src/fescueseam/handshake/tests/load.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/load.py
@@ -55,10 +55,12 @@
     """Backend server of one slot that works on one request after the other."""
 
     free_at: float = 0.0
+    work_s: dict[int, float] = field(factory=dict)
+    """Service time of the requests of each port; SERVICE_TIME_S for the others."""
 
-    def queue_request(self, now: float) -> None:
+    def queue_request(self, now: float, port: int) -> None:
         """Set the time that the next request takes, its wait in the queue included."""
-        self.free_at = max(now, self.free_at) + SERVICE_TIME_S
+        self.free_at = max(now, self.free_at) + self.work_s.get(port, SERVICE_TIME_S)
         self.service_time_s = (self.free_at - now) / max(1, self.busy + 1)
 
 
@@ -102,7 +104,7 @@
     def _handle_at_backend(self, address: int, segment: Segment) -> None:
         backend = self.backends[address]
         if segment.data_bytes and isinstance(backend, QueueingBackend):
-            backend.queue_request(self.now)
+            backend.queue_request(self.now, segment.destination_port)
         super()._handle_at_backend(address, segment)
 
     def _start(self, request: Request) -> None:
--- a/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
+++ b/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
@@ -15,7 +15,8 @@
 )
 from fescueseam.overload.needs import RouteNeeds
 from fescueseam.overload.refusals import RefusalMemory, RetryLimits
-from fescueseam.overload.waits import Outlook
+from fescueseam.overload.reserve import ServerReserves
+from fescueseam.overload.waits import Outlook, compute_allowed_wait_s
 
 
 @define(eq=False)
@@ -26,6 +27,7 @@
     """Results of the searches for room to wait in time, by service and priority."""
     refusals: RefusalMemory = field(factory=RefusalMemory)
     retry_limits: RetryLimits = field(factory=RetryLimits)
+    reserves: ServerReserves = field(factory=ServerReserves)
 
     def recognise_retry(
         self, opening: PendingOpening, flow: FlowId, needs: RouteNeeds, now: float
@@ -66,6 +68,15 @@
             self.record_search(opening, False)
         return plan
 
+    def record_outcome(
+        self, opening: PendingOpening, needs: RouteNeeds, now: float, refused: bool = False
+    ) -> None:
+        """Record whether an opening got a slot while it could meet its target."""
+        allowed_s = compute_allowed_wait_s(needs.target_s, 0.0, now - opening.requested_at)
+        in_time = allowed_s >= 0 and not refused
+        priority = limit_priority(needs.priority)
+        self.reserves.record(opening.service, priority, in_time, now)
+
     def record_search(self, opening: PendingOpening, found: bool) -> None:
         """Record, once for each search, whether an opening found room to wait in time."""
         if opening.wait_search is not None:
--- a/packages/fescueseam/src/fescueseam/overload/waiting_room.py
+++ b/packages/fescueseam/src/fescueseam/overload/waiting_room.py
@@ -18,6 +18,9 @@
 """Ratio of the expected to the remaining wait from which on an opening no longer waits."""
 HANDSHAKE_TIME_S = 0.015
 """Time from the delivery of an opening to its request, in seconds."""
+IDLE_SLOTS_LIMIT = 0.2
+"""Number of slots that may be idle for handshakes before more requests are delivered than there are
+slots."""
 
 
 @frozen
@@ -34,11 +37,13 @@
     def compute_delivery_limit(self) -> int:
         """Return how many requests may be at work while others wait.
 
-        Those beyond the slots are in their handshake when a slot becomes free.
+        Those beyond the slots are in their handshake when a slot becomes free. If requests take
+        long, a slot that is idle meanwhile costs less than a wait behind them in the server.
         """
         slots = max(1, self.slots)
         service_time_s = estimate_service_time_s(self.service_time_s, self.cold)
-        return slots + min(slots, math.ceil(slots * HANDSHAKE_TIME_S / service_time_s))
+        idle_slots = slots * HANDSHAKE_TIME_S / service_time_s
+        return slots + min(slots, math.ceil(idle_slots - IDLE_SLOTS_LIMIT))
 
 
 @frozen
