--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -8,14 +8,13 @@
 from fescueseam.handshake.choice import choose_agent, is_agent_expected_soon
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendReset
-from fescueseam.handshake.free_slots import FreeSlotSearches
+from fescueseam.handshake.free_slots import OVERLOAD_OFFERS_LIMIT, FreeSlotSearches
 from fescueseam.handshake.homes import HomeTable
 from fescueseam.handshake.member import Member
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_TIMEOUT_S,
-    OFFER_TIMEOUT_S,
     REJECTED_BACKOFF_S,
     DeferredOpenings,
     OfferedOpenings,
@@ -30,6 +29,15 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.handshake.wait_planning import WaitPlanner
+from fescueseam.overload.admission import (
+    REASON_LIMIT,
+    WAIT_STEPS,
+    limit_priority,
+)
+from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.return_order import ReturnOrder, compute_return_order
+from fescueseam.overload.waits import estimate_service_time_s
 
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
@@ -37,10 +45,17 @@
 
 
 def build_forward(
-    fleet: Fleet, segment: Segment, member: Member, service: str, purpose: Purpose
+    fleet: Fleet,
+    segment: Segment,
+    member: Member,
+    service: str,
+    purpose: Purpose,
+    wait_step: int = 0,
+    priority: int = 0,
 ) -> Forward:
     """Return the effect that forwards a packet to an agent."""
-    mark = Mark(purpose, compute_service_tag(service), fleet.own.address)
+    tag = compute_service_tag(service)
+    mark = Mark(purpose, tag, fleet.own.address, wait_step, priority)
     return Forward(member.identity.address, segment, mark)
 
 
@@ -56,6 +71,7 @@
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
+    waits: WaitPlanner = field(factory=WaitPlanner)
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -68,7 +84,7 @@
         effects: Effects = []
         self.offered.expire(now)
         for flow, opening in list(self.offered.unanswered.items()):
-            if heard_until - opening.sent_at >= OFFER_TIMEOUT_S:
+            if opening.is_overdue(heard_until) or self._is_waiting_in_vain(opening, now):
                 effects += contain(
                     "offer-timeout",
                     partial(self._handle_offer_timeout, flow, opening, now),
@@ -79,7 +95,18 @@
     def retry_deferred(self, now: float, discard_flow: Callable[[FlowId], None]) -> Effects:
         """Place the deferred openings that are due."""
         effects: Effects = []
-        for flow, opening in self.deferred.take_due(now):
+        orders: dict[FlowId, ReturnOrder] = {}
+        for flow, opening in list(self.deferred.items()):
+            needs = self.configuration.find_needs(flow)
+            order = compute_return_order(
+                needs, 0.0, now - opening.requested_at, opening.deferred_at or now
+            )
+            if order is not None:
+                orders[flow] = order
+                continue
+            del self.deferred[flow]
+            effects += self._refuse_request(opening, flow, REASON_LIMIT, now)
+        for flow, opening in self.deferred.take_due(now, orders):
             effects += contain(
                 "deferred-retry",
                 partial(self._place_pending, opening, flow, now),
@@ -98,6 +125,9 @@
         """Start to place the opening of a new flow."""
         opening = PendingOpening(segment, service, "", now, set(excluded), set(excluded))
         opening.free_slot_offers_limit = self.free_slot_searches.choose_limit(service)
+        needs = self.configuration.find_needs(flow)
+        if needs is not None:
+            self.waits.recognise_retry(opening, flow, needs, now)
         return self._place_pending(opening, flow, now)
 
     def offer_to(
@@ -118,11 +148,22 @@
         opening.tried_agents.add(opening.agent)
         opening.offers_left -= 1
         opening.sent_at = now
+        opening.waits_until = None
         member.flows_sent_since_report += 1
         self.offered.add(flow, opening)
         self.homes.remember(flow, opening.agent, opening.service, now)
         purpose = Purpose.DELIVER_EVEN_IF_BUSY if opening.even_if_busy else Purpose.DELIVER
-        forward = build_forward(self.fleet, opening.segment, member, opening.service, purpose)
+        step, priority = opening.wait_step, 0
+        if step:
+            needs = self.configuration.find_needs(flow)
+            priority = limit_priority(needs.priority) if needs is not None else 0
+            fields["wait_ms"] = round(1000 * WAIT_STEPS[step].wait_s)
+            fields["late"] = WAIT_STEPS[step].late
+            fields["priority"] = priority
+            fields["kept_free"] = len(self._find_reserved(flow, opening.service, now))
+        forward = build_forward(
+            self.fleet, opening.segment, member, opening.service, purpose, step, priority
+        )
         return [LogEvent("flow-offered", fields), forward]
 
     def offer_elsewhere(self, flow: FlowId, agent_name: str, rejected: bool, now: float) -> Effects:
@@ -132,6 +173,12 @@
             return []
         self.offered.discard(flow)
         member = self.fleet.find(agent_name)
+        if opening.wait_step and not rejected:
+            # It has room for higher classes or shorter queues, as its answer is for this one only.
+            opening.wait_step = 0
+            opening.full_agents.add(agent_name)
+            return self._place_pending(opening, flow, now)
+        opening.wait_step = 0
         rejected = rejected or opening.even_if_busy
         if member is not None:
             member.busy_until = now + BUSY_BACKOFF_S
@@ -165,10 +212,18 @@
         return [LogEvent("opening-parked", fields)]
 
     def refuse(
-        self, segment: Segment, flow: FlowId, reason: str, now: float, service: str = ""
+        self,
+        segment: Segment,
+        flow: FlowId,
+        reason: str,
+        now: float,
+        service: str = "",
+        requested_at: float | None = None,
+        **inputs: object,
     ) -> Effects:
         """Reset an opening, or drop it if this process does not know enough to refuse it."""
         fields = {
+            **inputs,
             "flow": format_flow(flow),
             "service": service,
             "reason": reason,
@@ -179,6 +234,9 @@
         )
         if segment.attempt > 0 or not can_refuse:
             return [LogEvent("opening-dropped", fields)]
+        if self.configuration.find_needs(flow) is not None and reason != REASON_LIMIT:
+            # After its limit a caller has no use for another try.
+            self.waits.refusals.record(flow, now if requested_at is None else requested_at, now)
         return [LogEvent("flow-refused", fields), SendReset(segment)]
 
     def record_free_slot_search(self, opening: PendingOpening, found: bool) -> None:
@@ -188,7 +246,16 @@
 
     def _handle_offer_timeout(self, flow: FlowId, opening: PendingOpening, now: float) -> Effects:
         effects: Effects = []
+        if opening.waits_until is not None:
+            # Other openings show whether its agent still answers. If it was delivered without a
+            # notice, its flow ignores the reset of an opening once it is open.
+            opening.waits_until = None
+            fields = {"flow": format_flow(flow), "agent": opening.agent}
+            lost = LogEvent("waiting-opening-lost", fields)
+            return [lost, *self.offer_elsewhere(flow, opening.agent, True, now)]
         opening.was_unanswered = True
+        # Agents of earlier builds reject offers that allow a wait.
+        opening.can_wait = opening.can_wait and not opening.wait_step
         if self.fleet.record_unanswered(opening.agent, now):
             effects.append(LogEvent("agent-unanswered", {"agent": opening.agent}))
         return effects + self.offer_elsewhere(flow, opening.agent, True, now)
@@ -202,19 +269,92 @@
         if opening.offers_left <= 0:
             return self._stop_offering(opening, flow, now)
         member = None
-        is_within_limit = len(opening.tried_agents) < opening.free_slot_offers_limit
+        limit = opening.free_slot_offers_limit
+        if limit == OVERLOAD_OFFERS_LIMIT and self.configuration.find_needs(flow) is not None:
+            # The offer that allows a wait takes a free slot as well.
+            limit = 0
+        is_within_limit = len(opening.tried_agents) < limit
         if not opening.even_if_busy and is_within_limit:
-            member = self._choose_agent(opening.service, opening.tried_agents, now)
+            member = self._choose_agent(flow, opening.service, opening.tried_agents, now)
         if member is None:
             if not opening.even_if_busy:
                 self.record_free_slot_search(opening, False)
             opening.even_if_busy = True
-            member = self._choose_agent(opening.service, opening.rejecting_agents, now)
+            needs = self.configuration.find_needs(flow)
+            if needs is not None and opening.can_wait:
+                return self._offer_wait(opening, flow, needs, now)
+            member = self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
         return self.offer_to(member, opening, flow, now)
 
+    def _offer_wait(
+        self, opening: PendingOpening, flow: FlowId, needs: RouteNeeds, now: float
+    ) -> Effects:
+        """Ask an agent to let an opening wait for as long as its route's needs allow, or refuse."""
+        asked = opening.rejecting_agents | opening.full_agents
+        unasked = self._choose_agent(flow, opening.service, asked, now)
+        member = unasked or self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
+        if member is None:
+            self.homes.pop(flow, None)
+            return self.defer_or_refuse(opening, flow, now)
+        service_time_s = estimate_service_time_s(member.load.service_time_s, member.load.cold)
+        plan = self.waits.plan(opening, flow, needs, service_time_s, unasked is not None, now)
+        if plan.step:
+            opening.wait_step = plan.step
+            opening.wait_offers += 1
+            return self.offer_to(member, opening, flow, now)
+        self.homes.pop(flow, None)
+        if opening.was_unanswered:
+            # An agent that did not answer may have delivered it.
+            fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
+            return [LogEvent("opening-dropped", fields)]
+        return self._refuse_request(opening, flow, plan.reason, now, service_time_s)
+
+    def record_delivery(self, opening: PendingOpening, flow: FlowId, now: float) -> None:
+        """Record that an opening got a slot."""
+        self.waits.record_search(opening, True)
+        needs = self.configuration.find_needs(flow)
+        if needs is not None:
+            self.waits.record_outcome(opening, needs, now)
+
+    def _refuse_request(
+        self,
+        opening: PendingOpening,
+        flow: FlowId,
+        reason: str,
+        now: float,
+        service_time_s: float = 0.0,
+    ) -> Effects:
+        """Refuse an opening by what its route needs, and log the inputs of this decision."""
+        needs = self.configuration.find_needs(flow)
+        inputs: dict[str, object] = {
+            "elapsed_ms": round(1000 * (now - opening.requested_at)),
+            "service_time_ms": round(1000 * service_time_s),
+            "asked": sorted(opening.full_agents),
+            "retry": opening.is_retry,
+        }
+        if needs is not None:
+            self.waits.record_outcome(opening, needs, now, refused=True)
+            inputs["target_ms"] = round(1000 * needs.target_s)
+            inputs["limit_ms"] = round(1000 * needs.limit_s)
+            inputs["priority"] = needs.priority
+        return self.refuse(
+            opening.segment, flow, reason, now, opening.service, opening.requested_at, **inputs
+        )
+
+    def _is_waiting_in_vain(self, opening: PendingOpening, now: float) -> bool:
+        """Return whether the agent at which an opening waits is lost."""
+        if opening.waits_until is None:
+            return False
+        member = self.fleet.find(opening.agent)
+        return (
+            member is None
+            or member.unanswered_at is not None
+            or self.fleet.is_unreachable(member, now)
+        )
+
     def _stop_offering(self, opening: PendingOpening, flow: FlowId, now: float) -> Effects:
         self.homes.pop(flow, None)
         if opening.deferred_at is not None or not opening.was_unanswered:
@@ -223,7 +363,26 @@
         fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
         return [LogEvent("opening-dropped", fields)]
 
-    def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
+    def _choose_agent(
+        self, flow: FlowId, service: str, excluded: set[str], now: float
+    ) -> Member | None:
+        reserved = self._find_reserved(flow, service, now)
+        return self._choose_any_agent(service, excluded | reserved, now)
+
+    def _find_reserved(self, flow: FlowId, service: str, now: float) -> set[str]:
+        """Return the agents that are kept free of the class of a flow."""
+        needs = self.configuration.find_needs(flow)
+        if needs is None:
+            return set()
+        priority = limit_priority(needs.priority)
+        if not self.waits.reserves.compute_share(service, priority, now):
+            return set()
+        agents = [item.identity.name for item in self.fleet.list_agents((service,))]
+        reserved = self.waits.reserves.select_reserved(service, priority, agents, now)
+        # Where no other agent is eligible, the class would get nothing at all.
+        return reserved if self._choose_any_agent(service, reserved, now) is not None else set()
+
+    def _choose_any_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
         return choose_agent(
             self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
         )
