Learn the work of routes and place flows by it and by the speed of servers

Cause: a balancer knew one service time per server, which counted the time that requests wait behind others; every open flow counted as 0.02 of a busy one; a server that turned slow went on being asked for a free slot whenever the others were busy.

Change: agents learn the service time of each route, told from waiting, and what its flows carry (overload/work.py), and report it once a second. Long flows are shared out by the share of a server that they use, short ones count that use (overload/placement.py). Balancers set servers aside that are slower than their past and their peers, or fail more, with a hold that grows, a bound of a third and one opening in 200 as a trial (overload/speeds.py).

Ruled out: a longer service time alone, as the slow server is then still asked for a free slot.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -183,6 +183,8 @@
     def _receive_report(self, body: Report, sequence: int, now: float) -> None:
         node = self.node
         changed = node.record_report(body, sequence, now)
+        if body.identity.role is Role.AGENT:
+            node.execute(self.core.handle_agent_report(body.identity.service, now))
         if body.identity.role is Role.BALANCER:
             self._has_balancer_report = True
             self._apply_outage(body.outage, body.identity.name)
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -1,6 +1,6 @@
 """Decisions of an agent about the packets to and from its backend server."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fescueseam.handshake.backend import BackendMonitor, Heartbeat, HeartbeatOutcome
 from fescueseam.handshake.effects import (
@@ -13,7 +13,7 @@
     SendToCaller,
 )
 from fescueseam.handshake.failures import FailureTracker, compute_stuck_after
-from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S, FlowTable
+from fescueseam.handshake.flows import IDLE_FLOW_TIMEOUT_S, Flow, FlowTable
 from fescueseam.handshake.holders import build_held_flows
 from fescueseam.handshake.load_averages import LoadAverages
 from fescueseam.handshake.member import Availability, Load, Member
@@ -34,6 +34,8 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.overload.speeds import RECOVERED_RATIO
+from fescueseam.overload.work import LearnedWork
 
 
 @define(eq=False)
@@ -49,6 +51,7 @@
     flows: FlowTable = field(factory=FlowTable)
     failures: FailureTracker = field(factory=FailureTracker)
     averages: LoadAverages = field(factory=LoadAverages)
+    work: LearnedWork = field(factory=LearnedWork)
     admission: OpeningAdmission = field(init=False)
     _service_tag: int = field(init=False)
 
@@ -72,7 +75,7 @@
             return self.admission.admit(segment, flow, entry, now)
         if entry is not None:
             self._update_utilisation(now)
-            self.flows.record_caller_packet(flow, entry, segment, now)
+            self._record_caller_packet(flow, entry, segment, now)
             if segment.resets:
                 self.flows.remove(flow)
             return [Deliver(segment)]
@@ -109,6 +112,8 @@
         self._update_utilisation(now)
         end = self.flows.record_backend_packet(flow, entry, segment, now)
         if end is not None:
+            is_usual = not self.backend.cold_start.is_cold(now)
+            self.work.record_end(flow, end.answered, self.flows.busy, is_usual, now)
             self.failures.record_request_end(not end.answered, now)
         if end is not None and end.answered:
             self.averages.record_service_time(end.duration_s)
@@ -148,6 +153,7 @@
             # as soon as the backend server returns a packet.
             self.flows.clear_pending_requests()
             self.failures = FailureTracker()
+            self.work.reset_pending()
             fields = {"backend": heartbeat.name, "sequence": heartbeat.sequence}
             effects.append(LogEvent("backend-started", fields))
         after = self.backend.compute_availability(now)
@@ -201,9 +207,10 @@
         return not has_left and self.flows.count_at_work(now) > 0
 
     def describe_load(self, now: float) -> Load:
-        """Return the load for the next report."""
+        """Return the load for the next report, without the learned work."""
         self._update_utilisation(now)
         heartbeat = self.backend.last_heartbeat
+        slowness = self.work.compute_slowness(self.flows.is_pending, now)
         stuck = self.flows.count_stuck(compute_stuck_after(self.averages.service_time_s), now)
         return Load(
             availability=self.backend.compute_availability(now),
@@ -216,6 +223,7 @@
             cold=self.backend.cold_start.is_cold(now),
             leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
+            slowness=slowness if slowness >= RECOVERED_RATIO else 0.0,
         )
 
     def build_report(
@@ -252,7 +260,17 @@
         if not members:
             return []
         body = self.build_report(now)
-        return [SendNotice(member.identity.address, body) for member in members]
+        work = self.work.collect_report(self.flows.flows, now)
+        body_with_work = evolve(body, load=evolve(body.load, work=work)) if work else body
+        effects: Effects = []
+        for member in members:
+            is_work_due = self.work.is_due(member.work_sent_at, now)
+            if is_work_due:
+                member.work_sent_at = now
+            effects.append(
+                SendNotice(member.identity.address, body_with_work if is_work_due else body)
+            )
+        return effects
 
     def tick(self, now: float, heard_until: float | None = None) -> Effects:
         """Return unanswered opening packets to their balancers and expire old flows.
@@ -295,6 +313,16 @@
             return [LogEvent("flow-reset", fields), SendReset(segment)]
         return [return_packet(segment, self.backend.service, segment.mark.origin, Purpose.NOT_HERE)]
 
+    def _record_caller_packet(
+        self, flow: FlowId, entry: Flow, segment: Segment, now: float
+    ) -> None:
+        requests = entry.requests
+        self.flows.record_caller_packet(flow, entry, segment, now)
+        if entry.pending_request_at == now:
+            slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 1
+            is_new = entry.requests > requests
+            self.work.record_request(flow, is_new, self.flows.busy, slots, now)
+
     def _update_utilisation(self, now: float) -> None:
         slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 0
         self.averages.record_busy_slots(self.flows.busy, slots, now)
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -22,6 +22,7 @@
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.searches import HomeSearch
 from fescueseam.handshake.segments import FlowId, Purpose, Segment, format_flow
+from fescueseam.overload.speeds import ServerSpeeds
 
 
 @define(eq=False)
@@ -37,6 +38,7 @@
     """Whether the member list has been read; until then flows are not reset for want of a home."""
     homes: HomeTable = field(factory=HomeTable)
     handed_over: HandedOverHomes = field(factory=HandedOverHomes)
+    speeds: ServerSpeeds = field(factory=ServerSpeeds)
     finder: HomeFinder = field(init=False)
     placement: OpeningPlacement = field(init=False)
 
@@ -131,6 +133,10 @@
             return [SendNotice(origin, Located(body.flow, Holding.NO))]
         return [SendNotice(origin, Located(body.flow, Holding.UNSURE, member.identity.name))]
 
+    def handle_agent_report(self, service: str, now: float) -> Effects:
+        """Compare the speeds of the backend servers of a service after a report of one of them."""
+        return self.speeds.refresh(self.fleet, service, now)
+
     def hand_over_homes(self, now: float) -> Effects:
         """Hand the homes of open flows over to the neighbours that stay."""
         return build_handover(self.homes, self.handed_over, self.fleet, now)
--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -2,22 +2,17 @@
 
 from collections.abc import Collection
 
-from fescueseam.handshake.member import Availability, Member
+from fescueseam.handshake.member import Availability, Member, RouteWork
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.rules import ActiveConfiguration
+from fescueseam.handshake.segments import ServiceAddress
+from fescueseam.overload.placement import estimate_server_delay, take_trial
 
-DEFAULT_SERVICE_TIME_S = 0.05
-"""Service time assumed for a backend server that has served no request yet, in seconds."""
 DEFAULT_REMOTE_PENALTY_S = 0.02
 """Default delay added for a backend server in another data centre, in seconds."""
-COLD_SERVICE_TIME_FACTOR = 3.0
-"""Factor on the service time of a cold backend server, which is slow and can take few openings."""
 FAILURE_PENALTY_S = 1.0
 """Delay assumed for a request that gets no answer, in seconds: its caller retries after about as
 long, if at all."""
-OPEN_FLOW_WEIGHT = 0.02
-"""Load that each open flow adds, relative to a busy one: callers have a request in flight for about
-this share of the time."""
 
 
 def is_eligible_for_flows(
@@ -35,23 +30,16 @@
     )
 
 
-def estimate_delay(member: Member, data_centre: str, remote_penalty_s: float) -> float:
+def estimate_delay(
+    member: Member, data_centre: str, remote_penalty_s: float, typical: RouteWork | None = None
+) -> float:
     """Return the estimated time until a request sent to an agent is answered, in seconds.
 
     `remote_penalty_s` is added for another data centre: the wait for a slot nearby that is accepted
     to save the round trips and the bytes of the whole flow between data centres.
     """
-    load = member.load
-    service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
-    if load.cold:
-        service_time_s *= COLD_SERVICE_TIME_FACTOR
-    slots = max(1, load.slots)
-    mean_busy = load.utilisation * slots
-    expected_busy = (
-        (load.busy + mean_busy) / 2 + member.flows_sent_since_report + OPEN_FLOW_WEIGHT * load.flows
-    )
-    delay_s = service_time_s * (1 + expected_busy / slots)
-    delay_s += load.failing * FAILURE_PENALTY_S
+    delay_s = estimate_server_delay(member, typical)
+    delay_s += member.load.failing * FAILURE_PENALTY_S
     if member.identity.data_centre != data_centre:
         delay_s += remote_penalty_s
     return delay_s
@@ -64,8 +52,15 @@
     excluded: Collection[str],
     now: float,
     remote_penalty_s: float = DEFAULT_REMOTE_PENALTY_S,
+    address: ServiceAddress | None = None,
+    even_if_busy: bool = False,
 ) -> Member | None:
-    """Return the agent expected to serve a new flow soonest, or None if no agent is eligible."""
+    """Return the agent expected to serve a new flow soonest, or None if no agent is eligible.
+
+    `address` is the service address of the flow, whose learned work counts. An agent that is set
+    aside for its speed is not asked for a free slot, as a wait elsewhere may be shorter, but now
+    and then for a trial.
+    """
     near_timeout_s, far_timeout_s = fleet.compute_agent_report_timeouts()
     candidates = [
         member
@@ -77,12 +72,22 @@
     ]
     if not candidates:
         return None
+    if not even_if_busy:
+        aside = [item for item in candidates if item.slow_factor > 1.0]
+        trial = take_trial(aside, now) if aside and not excluded else None
+        if trial is not None:
+            return trial
+        if aside and len(aside) < len(candidates) + len(excluded):
+            candidates = [item for item in candidates if item.slow_factor <= 1.0]
+            if not candidates:
+                return None
     ready = [item for item in candidates if item.load.availability is Availability.READY]
     not_recently_full = [item for item in ready if item.busy_until <= now]
+    typical = fleet.typical_work.get(service, {}).get(address) if address else None
     # Agents are listed by name, and the first of equals is chosen.
     return min(
         not_recently_full or ready or candidates,
-        key=lambda member: estimate_delay(member, fleet.own.data_centre, remote_penalty_s),
+        key=lambda member: estimate_delay(member, fleet.own.data_centre, remote_penalty_s, typical),
     )
 
 
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -147,6 +147,8 @@
         target.meanS = item.mean_s
         target.deviationS = item.deviation_s
         target.requestsPerFlow = item.requests_per_flow
+        target.flows = item.flows
+        target.busyShare = item.busy_share
 
 
 def _read_work(source: Any) -> tuple[RouteWork, ...]:
@@ -156,6 +158,8 @@
             item.meanS,
             item.deviationS,
             item.requestsPerFlow,
+            item.flows,
+            item.busyShare,
         )
         for item in source
     )
@@ -177,6 +181,7 @@
     load.failing = body.load.failing
     load.cold = body.load.cold
     load.leaving = body.load.leaving
+    load.slowness = body.load.slowness
     load.hasUnknownFlows = body.load.held.has_unknown_flows
     addresses = sorted(body.load.held.service_addresses)
     load.heldAddresses = [_encode_service_address(item) for item in addresses]
@@ -217,6 +222,7 @@
                 load.hasUnknownFlows,
             ),
             _read_work(load.work),
+            load.slowness,
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -37,6 +37,8 @@
     """Whether the backend server has sent a packet."""
     pending_request_at: float | None = None
     """Arrival time of the newest data of the pending request; None if no request is pending."""
+    requests: int = 0
+    """Number of requests that were seen."""
     next_caller_sequence: int | None = None
     """Sequence number after the newest data from the caller."""
     next_server_sequence: int | None = None
@@ -108,6 +110,11 @@
             del self._flows_by_address[flow[2:]]
         return entry
 
+    def is_pending(self, flow: FlowId) -> bool:
+        """Return whether a flow has a pending request."""
+        entry = self.flows.get(flow)
+        return entry is not None and entry.pending_request_at is not None
+
     def list_service_addresses(self) -> frozenset[ServiceAddress]:
         """Return the service addresses of the flows in the table."""
         return frozenset(self._flows_by_address)
@@ -135,6 +142,7 @@
         entry.next_caller_sequence = end
         if entry.pending_request_at is None:
             self.busy += 1
+            entry.requests += 1
         entry.pending_request_at = now
 
     def record_backend_packet(
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -68,6 +68,10 @@
     deviation_s: float = 0.0
     """Mean deviation of the service time, in seconds."""
     requests_per_flow: float = 1.0
+    flows: int = 0
+    """Number of open flows of the route."""
+    busy_share: float = 0.0
+    """Share of time for which one of these flows has a request at work."""
 
 
 @frozen
@@ -90,7 +94,10 @@
     """Share of the latest requests that got no answer."""
     held: HeldFlows = NO_FLOWS
     work: tuple[RouteWork, ...] = ()
-    """Learned work of the service addresses that the backend server has served lately."""
+    """Learned work of the service addresses that the backend server has served lately; empty in
+    most reports."""
+    slowness: float = 0.0
+    """Recent service times relative to the usual ones, if they are longer; otherwise 0."""
 
 
 @define
@@ -119,6 +126,18 @@
     """Time until which it is offered no new flow, because it rejected one or did not answer."""
     last_report_sent_at: float = -math.inf
     """Time at which this process last sent the member a report."""
+    work_sent_at: float = -math.inf
+    """Time at which this process last sent the member the learned work of its backend server."""
+    work: dict[ServiceAddress, RouteWork] = field(factory=dict)
+    """Learned work, as last reported."""
+    pinned_busy: float = 0.0
+    """Number of requests that its long flows have at work on average, as last reported."""
+    slow_factor: float = 1.0
+    """Factor on its service times while it is slower than before or than its peers; see
+    `overload.speeds`."""
+    passed_over: int = 0
+    """Number of openings that were offered to others first since it was last tried, while it is
+    set aside."""
     reported_unreachable: bool = False
     """Whether the member was last reported as unreachable, so that each change is reported once."""
 
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -15,6 +15,7 @@
     Load,
     Member,
     Role,
+    RouteWork,
 )
 from fescueseam.handshake.report_intervals import (
     MAX_FAR_INTERVAL_S,
@@ -27,6 +28,7 @@
     compute_near_balancer_interval,
 )
 from fescueseam.handshake.segments import ServiceAddress
+from fescueseam.overload.placement import compute_pinned_busy
 
 NEIGHBOUR_TIMEOUT_S = 2.2
 """Time without a message after which a balancer is not asked for the homes of flows, in seconds:
@@ -57,6 +59,8 @@
     members: dict[str, Member] = field(factory=dict)
     holders: HolderIndex = field(factory=HolderIndex)
     """Which flows the agents hold, as they have reported."""
+    typical_work: dict[str, dict[ServiceAddress, RouteWork]] = field(factory=dict)
+    """Median learned work of each route over the agents of each service."""
     _by_address: dict[int, Member] = field(factory=dict)
     _agents_by_service: dict[str, tuple[Member, ...]] = field(factory=dict)
     """Agents of each service, sorted by name; built on first use and cleared on changes."""
@@ -104,6 +108,9 @@
             # The agent has restarted and does not know yet that its server drains or has left.
             load = evolve(load, availability=known.load.availability)
         known.load = load
+        if load.work:
+            known.work = {item.address: item for item in load.work}
+            known.pinned_busy = compute_pinned_busy(load.work)
         if known.identity.role is Role.AGENT:
             self.holders.record(identity.name, load.held)
         known.had_backend = known.had_backend or not known.is_without_backend()
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -204,12 +204,12 @@
         member = None
         is_within_limit = len(opening.tried_agents) < opening.free_slot_offers_limit
         if not opening.even_if_busy and is_within_limit:
-            member = self._choose_agent(opening.service, opening.tried_agents, now)
+            member = self._choose_agent(opening, opening.tried_agents, now)
         if member is None:
             if not opening.even_if_busy:
                 self.record_free_slot_search(opening, False)
             opening.even_if_busy = True
-            member = self._choose_agent(opening.service, opening.rejecting_agents, now)
+            member = self._choose_agent(opening, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
@@ -223,7 +223,16 @@
         fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
         return [LogEvent("opening-dropped", fields)]
 
-    def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
+    def _choose_agent(
+        self, opening: PendingOpening, excluded: set[str], now: float
+    ) -> Member | None:
         return choose_agent(
-            self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
+            self.fleet,
+            self.configuration,
+            opening.service,
+            excluded,
+            now,
+            self.get_remote_penalty_s(),
+            opening.segment.get_flow_from_caller()[2:],
+            opening.even_if_busy,
         )
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -37,6 +37,7 @@
   heldAddresses @9 :List(UInt64);
   hasUnknownFlows @10 :Bool;
   work @11 :List(RouteWork);
+  slowness @12 :Float32;
 }
 
 struct RouteWork {
@@ -44,6 +45,8 @@
   meanS @1 :Float32;
   deviationS @2 :Float32;
   requestsPerFlow @3 :Float32;
+  flows @4 :UInt32;
+  busyShare @5 :Float32;
 }
 
 struct ColdBound {
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -298,6 +298,9 @@
                 core.fleet.record_report(body.identity, body.load, sequence, self.now)
                 if isinstance(core, Agent):
                     self.execute(address, core.handle_report(body, self.now))
+                elif body.identity.role is Role.AGENT:
+                    service = body.identity.service
+                    self.execute(address, core.handle_agent_report(service, self.now))
             elif isinstance(body, Locate):
                 self.execute(address, core.handle_locate(sender, body, self.now))
             elif isinstance(body, LocateBatch) and isinstance(core, Agent):
