Measure ways of placement under long work in the tail and a swing of demand

Cause: the model of one slot had even demand only.

Change: demands with three in a hundred requests seven times as long, a swing of 55 per cent of the data centres in turn, and both; the share of requests without an answer within 250 ms.

--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
@@ -26,7 +26,11 @@
         for variant in (FESCUESEAM, CONSISTENT_HASHING, CONNECTION_TABLE):
             for kind in (jobs.BROKEN_FLOWS, jobs.AT_MOST_ONCE, jobs.DATA_CENTRE_OUT):
                 job_list.append(Job(kind, variant, deployment, seed, size))
-    job_list += [Job(jobs.ONE_SLOT, way, jobs.ONE_SLOT, seed, size) for way in one_slot.WAYS]
+    job_list += [
+        Job(jobs.ONE_SLOT, way, demand, seed, size)
+        for way in one_slot.WAYS
+        for demand in one_slot.DEMANDS
+    ]
     return job_list
 
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
@@ -10,7 +10,7 @@
 from .data_centre_out import measure_data_centre_out
 from .forwarding import LARGE_PAYLOAD_BYTES, SMALL_PAYLOAD_BYTES, measure_forwarding
 from .ideal_pool import PoolResult, choose_fastest, choose_least_used
-from .one_slot import measure_one_slot
+from .one_slot import DEMANDS, measure_one_slot
 from .results import Measure, Result, make_result
 from .variants import FESCUESEAM
 
@@ -185,13 +185,16 @@
 
 def run_one_slot(job: Job) -> list[Result]:
     """Measure one way to place short requests on many servers with one slot."""
-    outcome = measure_one_slot(job.variant, job.seed, job.size.one_slot_time_s)
+    demand = DEMANDS[job.deployment]
+    time_s = job.size.one_slot_time_s
+    outcome = measure_one_slot(job.variant, job.seed, time_s, demand=demand)
     return [
         make_result(measure, job.variant, job.deployment, job.seed, value, unit)
         for measure, value, unit in (
             (Measure.QUEUED_SHARE, outcome.queued_share, "share"),
             (Measure.PLACEMENT_TIME_P99, outcome.placement_p99_s, "s"),
             (Measure.WAIT_P99, outcome.wait_p99_s, "s"),
+            (Measure.LATE_SHARE, outcome.late_share, "share"),
             (Measure.MESSAGES_PER_FLOW, outcome.messages_per_flow, "messages"),
         )
     ]
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
@@ -1,9 +1,12 @@
 """Place short requests on many backend servers with one slot each, in several ways.
 
+Load patterns: even demand; long work in the tail; demand that swings between data centres; both.
+
 The way in force uses the balancer's own choice; the others are the published ones that were weighed
 against it.
 """
 
+import math
 import random
 from collections.abc import Callable
 from functools import partial
@@ -33,10 +36,46 @@
 LOAD_SHARE = 0.75
 """Offered load as a share of what all servers together can serve."""
 REMOTE_PENALTY_S = 0.02
+TARGET_S = 0.25
+"""Time within which callers need the answer, in seconds."""
+SWING_PERIOD_S = 6.0
+"""Time in which the demand of each data centre rises and falls once, in seconds."""
+DATA_CENTRES = 3
 SETTLING_SHARE = 0.2
 """Share of the simulated time that is not measured."""
 
 
+@frozen
+class Demand:
+    """How uneven the work and the demand are."""
+
+    tail_share: float = 0.0
+    """Share of the requests that work longer."""
+    tail_factor: float = 1.0
+    swing: float = 0.0
+    """Largest change of a data centre's demand, relative to its mean."""
+
+    def draw_work(self, rng: random.Random) -> float:
+        """Return the work of a request, in seconds at a server of speed one."""
+        mean_factor = 1 + self.tail_share * (self.tail_factor - 1)
+        work_s = rng.expovariate(mean_factor / MEAN_SERVICE_TIME_S)
+        return work_s * (self.tail_factor if rng.random() < self.tail_share else 1.0)
+
+    def compute_weight(self, data_centre: int, now: float) -> float:
+        """Return the demand of a data centre at a time, relative to its mean."""
+        phase = now / SWING_PERIOD_S + data_centre / DATA_CENTRES
+        return 1 + self.swing * math.sin(2 * math.pi * phase)
+
+
+EVEN = "even"
+DEMANDS: dict[str, Demand] = {
+    EVEN: Demand(),
+    "tail": Demand(0.03, 7.0),
+    "swing": Demand(swing=0.55),
+    "tail-and-swing": Demand(0.03, 7.0, 0.55),
+}
+
+
 @frozen
 class OneSlotResult:
     """How requests were placed and how long they waited."""
@@ -51,6 +90,8 @@
     messages_per_flow: float
     remote_share: float
     """Share of the requests that were served in another data centre."""
+    late_share: float
+    """Share of the requests without an answer within the target."""
 
 
 def announce_nothing(model: Model, server: ModelServer) -> None:
@@ -149,7 +190,7 @@
 
 
 def _queue_by_expected_delay(model: Model, request: Request) -> None:
-    member = _choose_member(model, request, request.rejecting)
+    member = _choose_member(model, request, request.rejecting, even_if_busy=True)
     if member is None:
         model.rejected += 1
         return
@@ -163,7 +204,9 @@
     model.offer(request, model.servers[member.identity.name], True, handle_rejection)
 
 
-def _choose_member(model: Model, request: Request, excluded: set[str]) -> Member | None:
+def _choose_member(
+    model: Model, request: Request, excluded: set[str], even_if_busy: bool = False
+) -> Member | None:
     member = choose_agent(
         request.balancer.fleet,
         model.configuration,
@@ -171,6 +214,7 @@
         excluded,
         model.now,
         REMOTE_PENALTY_S,
+        even_if_busy=even_if_busy,
     )
     if member is not None:
         member.flows_sent_since_report += 1
@@ -252,17 +296,19 @@
     server_count: int = 51,
     balancer_count: int = 24,
     load_share: float = LOAD_SHARE,
+    demand: Demand = DEMANDS[EVEN],
 ) -> OneSlotResult:
     """Run Poisson arrivals at random balancers; three data centres share servers and balancers."""
     place, announce_idle = WAYS[way]
     model = Model(random.Random(f"model/{seed}"), place, announce_idle)
     for number in range(server_count):
-        data_centre = f"dc-{number // len(SPEEDS) % 3}"
+        data_centre = f"dc-{number // len(SPEEDS) % DATA_CENTRES}"
         name = f"agent-{number:03}"
         identity = Identity(name, Role.AGENT, 1000 + number, data_centre, SERVICE)
         model.servers[name] = ModelServer(identity, SPEEDS[number % len(SPEEDS)])
     for number in range(balancer_count):
-        own = Identity(f"balancer-{number:03}", Role.BALANCER, 1 + number, f"dc-{number % 3}")
+        data_centre = f"dc-{number % DATA_CENTRES}"
+        own = Identity(f"balancer-{number:03}", Role.BALANCER, 1 + number, data_centre)
         model.balancers.append(ModelBalancer(Fleet(own)))
     for server in model.servers.values():
         for balancer in model.balancers:
@@ -270,19 +316,23 @@
             balancer.fleet.record_report(server.identity, Load(Availability.READY), 1, 0.0)
             delay_s = model.rng.uniform(0.0, NEAR_REPORT_INTERVAL_S)
             model.schedule(delay_s, partial(model.report, server, balancer, 2))
-    requests = _schedule_arrivals(model, seed, time_s, load_share)
+    requests = _schedule_arrivals(model, seed, time_s, load_share, demand)
     model.run(time_s)
     return _summarise(model, requests, time_s)
 
 
-def _schedule_arrivals(model: Model, seed: int, time_s: float, load_share: float) -> list[Request]:
+def _schedule_arrivals(
+    model: Model, seed: int, time_s: float, load_share: float, demand: Demand
+) -> list[Request]:
     rng = random.Random(f"arrivals/{seed}")
     rate = load_share * sum(item.speed for item in model.servers.values()) / MEAN_SERVICE_TIME_S
     requests: list[Request] = []
     opened_at = rng.expovariate(rate)
     while opened_at < time_s:
-        work_s = rng.expovariate(1 / MEAN_SERVICE_TIME_S)
-        request = Request(rng.choice(model.balancers), opened_at, work_s)
+        weights = [demand.compute_weight(number, opened_at) for number in range(DATA_CENTRES)]
+        (data_centre,) = rng.choices(range(DATA_CENTRES), weights)
+        balancer = rng.choice(model.balancers[data_centre::DATA_CENTRES])
+        request = Request(balancer, opened_at, demand.draw_work(rng))
         requests.append(request)
         model.schedule(opened_at, partial(model.place, model, request))
         opened_at += rng.expovariate(rate)
@@ -293,6 +343,10 @@
     measured = [item for item in requests if item.opened_at >= SETTLING_SHARE * time_s]
     placed = [item for item in measured if item.placed_at is not None]
     placement_times = sorted(item.placed_at - item.opened_at for item in placed if item.placed_at)
+    due = [item for item in measured if item.opened_at < time_s - TARGET_S]
+    in_time = sum(
+        item.ended_at is not None and item.ended_at - item.opened_at <= TARGET_S for item in due
+    )
     waits = sorted(item.started_at - item.opened_at for item in placed if item.started_at)
     return OneSlotResult(
         queued_share=sum(item.was_queued for item in placed) / len(placed),
@@ -301,4 +355,5 @@
         wait_p99_s=waits[int(0.99 * len(waits))],
         messages_per_flow=model.messages / len(requests),
         remote_share=sum(item.is_remote for item in placed) / len(placed),
+        late_share=1 - in_time / len(due),
     )
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot_model.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot_model.py
@@ -53,6 +53,7 @@
     work_s: float
     placed_at: float | None = None
     started_at: float | None = None
+    ended_at: float | None = None
     was_queued: bool = False
     is_remote: bool = False
     tried: set[str] = field(factory=set)
@@ -128,7 +129,7 @@
         self.schedule(duration_s, lambda: self._end_work(server))
 
     def _end_work(self, server: ModelServer) -> None:
-        server.queue.popleft()
+        server.queue.popleft().ended_at = self.now
         if server.queue:
             self._start_work(server)
         else:
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/results.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/results.py
@@ -26,6 +26,7 @@
     PLACEMENT_TIME_P99 = "time-to-placement-p99"
     WAIT_P99 = "time-to-work-p99"
     MESSAGES_PER_FLOW = "messages-per-flow"
+    LATE_SHARE = "answered-late"
 
 
 TARGETS: dict[Measure, float] = {
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_measure.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_measure.py
@@ -47,7 +47,7 @@
 
 def test_one_slot_way_in_force_queues_fewer_requests_than_probing():
     queued = {
-        way: jobs.run_job(jobs.Job(jobs.ONE_SLOT, way, jobs.ONE_SLOT, SEED, jobs.QUICK))[0].value
+        way: jobs.run_job(jobs.Job(jobs.ONE_SLOT, way, one_slot.EVEN, SEED, jobs.QUICK))[0].value
         for way in one_slot.WAYS
     }
     assert queued[one_slot.EXPECTED_DELAY] < min(queued["two-probes"], queued["three-probes"])
