--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from fescueseam.handshake.agent_selection import AgentSelector
 from fescueseam.handshake.choice import DEFAULT_REMOTE_PENALTY_S
 from fescueseam.handshake.effects import Effects, LogEvent, SendNotice, SendReset
 from fescueseam.handshake.finder import HomeFinder
@@ -22,6 +23,7 @@
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.searches import HomeSearch
 from fescueseam.handshake.segments import FlowId, Purpose, Segment, format_flow
+from fescueseam.overload.speeds import ServerSpeeds
 
 
 @define(eq=False)
@@ -37,12 +39,14 @@
     """Whether the member list has been read; until then flows are not reset for want of a home."""
     homes: HomeTable = field(factory=HomeTable)
     handed_over: HandedOverHomes = field(factory=HandedOverHomes)
+    speeds: ServerSpeeds = field(factory=ServerSpeeds)
     finder: HomeFinder = field(init=False)
     placement: OpeningPlacement = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        selector = AgentSelector(self.fleet, self.configuration, self.get_remote_penalty_s)
         self.placement = OpeningPlacement(
-            self.fleet, self.configuration, self.homes, self.started_at, self.get_remote_penalty_s
+            self.fleet, self.configuration, self.homes, self.started_at, selector
         )
         self.finder = HomeFinder(self.fleet, self._handle_found, self._handle_not_found)
 
@@ -137,6 +141,11 @@
             return [SendNotice(origin, Located(body.flow, Holding.NO))]
         return [SendNotice(origin, Located(body.flow, Holding.UNSURE, member.identity.name))]
 
+    def handle_agent_report(self, name: str, now: float) -> Effects:
+        """Compare the speed of an agent's backend server with others after a report."""
+        member = self.fleet.find(name)
+        return [] if member is None else self.speeds.handle_report(self.fleet, member, now)
+
     def hand_over_homes(self, now: float) -> Effects:
         """Hand the homes of open flows over to the neighbours that stay."""
         return build_handover(self.homes, self.handed_over, self.fleet, now)
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -5,7 +5,8 @@
 
 from attrs import define, field
 
-from fescueseam.handshake.choice import choose_agent, is_agent_expected_soon
+from fescueseam.handshake.agent_selection import AgentSelector
+from fescueseam.handshake.choice import is_agent_expected_soon
 from fescueseam.handshake.containment import contain
 from fescueseam.handshake.effects import Effects, Forward, LogEvent, SendReset
 from fescueseam.handshake.free_slots import OVERLOAD_OFFERS_LIMIT, FreeSlotSearches
@@ -67,11 +68,14 @@
     configuration: ActiveConfiguration
     homes: HomeTable
     started_at: float
-    get_remote_penalty_s: Callable[[], float]
+    selector: AgentSelector
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
-    waits: WaitPlanner = field(factory=WaitPlanner)
+    waits: WaitPlanner = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.waits = WaitPlanner(self.selector.reserves)
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -160,7 +164,7 @@
             fields["wait_ms"] = round(1000 * WAIT_STEPS[step].wait_s)
             fields["late"] = WAIT_STEPS[step].late
             fields["priority"] = priority
-            fields["kept_free"] = len(self._find_reserved(flow, opening.service, now))
+            fields["kept_free"] = len(self.selector.find_reserved(opening, flow, now))
         forward = build_forward(
             self.fleet, opening.segment, member, opening.service, purpose, step, priority
         )
@@ -275,7 +279,7 @@
             limit = 0
         is_within_limit = len(opening.tried_agents) < limit
         if not opening.even_if_busy and is_within_limit:
-            member = self._choose_agent(flow, opening.service, opening.tried_agents, now)
+            member = self.selector.choose(opening, flow, opening.tried_agents, now)
         if member is None:
             if not opening.even_if_busy:
                 self.record_free_slot_search(opening, False)
@@ -283,7 +287,7 @@
             needs = self.configuration.find_needs(flow)
             if needs is not None and opening.can_wait:
                 return self._offer_wait(opening, flow, needs, now)
-            member = self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
+            member = self.selector.choose(opening, flow, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
@@ -294,8 +298,8 @@
     ) -> Effects:
         """Ask an agent to let an opening wait for as long as its route's needs allow, or refuse."""
         asked = opening.rejecting_agents | opening.full_agents
-        unasked = self._choose_agent(flow, opening.service, asked, now)
-        member = unasked or self._choose_agent(flow, opening.service, opening.rejecting_agents, now)
+        unasked = self.selector.choose(opening, flow, asked, now)
+        member = unasked or self.selector.choose(opening, flow, opening.rejecting_agents, now)
         if member is None:
             self.homes.pop(flow, None)
             return self.defer_or_refuse(opening, flow, now)
@@ -362,27 +366,3 @@
         # The agents may be overloaded; the caller retransmits the opening.
         fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
         return [LogEvent("opening-dropped", fields)]
-
-    def _choose_agent(
-        self, flow: FlowId, service: str, excluded: set[str], now: float
-    ) -> Member | None:
-        reserved = self._find_reserved(flow, service, now)
-        return self._choose_any_agent(service, excluded | reserved, now)
-
-    def _find_reserved(self, flow: FlowId, service: str, now: float) -> set[str]:
-        """Return the agents that are kept free of the class of a flow."""
-        needs = self.configuration.find_needs(flow)
-        if needs is None:
-            return set()
-        priority = limit_priority(needs.priority)
-        if not self.waits.reserves.compute_share(service, priority, now):
-            return set()
-        agents = [item.identity.name for item in self.fleet.list_agents((service,))]
-        reserved = self.waits.reserves.select_reserved(service, priority, agents, now)
-        # Where no other agent is eligible, the class would get nothing at all.
-        return reserved if self._choose_any_agent(service, reserved, now) is not None else set()
-
-    def _choose_any_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
-        return choose_agent(
-            self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
-        )
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_burst.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_burst.py
@@ -5,7 +5,13 @@
 import pytest
 from attrs import evolve
 
-from fescueseam.handshake.tests.conftest import ALERTS, CALLER_ADDRESS, SERVICE_ADDRESS
+from fescueseam.handshake.openings import PendingOpening
+from fescueseam.handshake.tests.conftest import (
+    ALERTS,
+    CALLER_ADDRESS,
+    SERVICE_ADDRESS,
+    build_opening,
+)
 from fescueseam.handshake.tests.load import (
     CHEAP,
     CHEAP_PORT,
@@ -83,9 +89,10 @@
             placement.waits.reserves.record(ALERTS, DEAR.priority, False, cluster.now)
         cluster.run(0.5)
     flow = (CALLER_ADDRESS, 1, SERVICE_ADDRESS, CHEAP_PORT)
-    reserved = placement._find_reserved(flow, ALERTS, cluster.now)
+    opening = PendingOpening(build_opening(flow), ALERTS, "", cluster.now)
+    reserved = placement.selector.find_reserved(opening, flow, cluster.now)
     assert len(reserved) == 1
     for member in placement.fleet.list_agents((ALERTS,)):
         if member.identity.name not in reserved:
             member.excluded_until = cluster.now + 1.0
-    assert placement._find_reserved(flow, ALERTS, cluster.now) == set()
+    assert placement.selector.find_reserved(opening, flow, cluster.now) == set()
--- a/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
+++ b/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
@@ -23,11 +23,11 @@
 class WaitPlanner:
     """Plans the waits of openings by the results of earlier ones."""
 
+    reserves: ServerReserves
     searches: FreeSlotSearches = field(factory=FreeSlotSearches)
     """Results of the searches for room to wait in time, by service and priority."""
     refusals: RefusalMemory = field(factory=RefusalMemory)
     retry_limits: RetryLimits = field(factory=RetryLimits)
-    reserves: ServerReserves = field(factory=ServerReserves)
 
     def recognise_retry(
         self, opening: PendingOpening, flow: FlowId, needs: RouteNeeds, now: float
