Choose remote servers by callers' targets and a share of their room

Cause: a constant delay of 20 ms sends flows to other data centres whenever a server there is faster, although callers nearby are well within their target, and all balancers of a full data centre see the same free server by late reports.

Change: where the routes of a service state a latency target, flows leave while the expected delay nearby is over 80 % of it (60 % until none has left for 1 s). The penalty is weighed by learned bytes of a flow (agents report them: Load.flowBytes @12) and by the measured round trip. A balancer counts what it sends for all balancers that may send there, and ranks near-equal servers by a hash with its own name. Without a target the choice is as before. log: remote-begun, remote-ended.

--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
@@ -4,6 +4,7 @@
 against it.
 """
 
+import math
 import random
 from collections.abc import Callable
 from functools import partial
@@ -15,8 +16,12 @@
 from fescueseam.handshake.member import Availability, Identity, Load, Member, Role
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.openings import BUSY_BACKOFF_S, REJECTED_BACKOFF_S
+from fescueseam.handshake.rules import Route, RouteShare, Rules
+from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.remote import RemotePreference
 
 from .one_slot_model import (
+    FAR_REPORT_INTERVAL_S,
     NEAR_REPORT_INTERVAL_S,
     AnnounceIdle,
     Model,
@@ -33,6 +38,11 @@
 LOAD_SHARE = 0.75
 """Offered load as a share of what all servers together can serve."""
 REMOTE_PENALTY_S = 0.02
+TARGET_S = 0.25
+"""Time from the opening to the end of the work within which a caller is served well, in seconds."""
+DATA_CENTRES = ("dc-0", "dc-1", "dc-2")
+SWING_PERIOD_S = 4.0
+"""Period of the swing of demand, in seconds."""
 SETTLING_SHARE = 0.2
 """Share of the simulated time that is not measured."""
 
@@ -51,6 +61,8 @@
     messages_per_flow: float
     remote_share: float
     """Share of the requests that were served in another data centre."""
+    in_target_share: float
+    """Share of the requests whose work ended within the target."""
 
 
 def announce_nothing(model: Model, server: ModelServer) -> None:
@@ -171,6 +183,7 @@
         excluded,
         model.now,
         REMOTE_PENALTY_S,
+        request.balancer.remote,
     )
     if member is not None:
         member.flows_sent_since_report += 1
@@ -234,7 +247,9 @@
 
 
 EXPECTED_DELAY = "least-expected-delay"
+CONSTANT_PENALTY = "constant-penalty"
 WAYS: dict[str, tuple[PlaceRequest, AnnounceIdle]] = {
+    CONSTANT_PENALTY: (place_by_expected_delay, announce_nothing),
     EXPECTED_DELAY: (place_by_expected_delay, announce_nothing),
     "two-probes": (place_by_probes(2), announce_nothing),
     "three-probes": (place_by_probes(3), announce_nothing),
@@ -252,37 +267,59 @@
     server_count: int = 51,
     balancer_count: int = 24,
     load_share: float = LOAD_SHARE,
+    swing: float = 0.0,
+    far_report_interval_s: float = FAR_REPORT_INTERVAL_S,
+    has_target: bool = False,
 ) -> OneSlotResult:
-    """Run Poisson arrivals at random balancers; three data centres share servers and balancers."""
+    """Run Poisson arrivals at random balancers; three data centres share servers and balancers.
+
+    The arrivals of each data centre rise and fall in turn by the share `swing`.
+    """
     place, announce_idle = WAYS[way]
     model = Model(random.Random(f"model/{seed}"), place, announce_idle)
+    model.far_report_interval_s = far_report_interval_s
+    needs = RouteNeeds(TARGET_S, 4 * TARGET_S)
+    route = Route(SERVICE, 1, 1, (RouteShare(SERVICE),), needs if has_target else None)
+    model.configuration.update_rules(Rules(1, (route,)), 0.0)
     for number in range(server_count):
-        data_centre = f"dc-{number // len(SPEEDS) % 3}"
+        data_centre = DATA_CENTRES[number // len(SPEEDS) % len(DATA_CENTRES)]
         name = f"agent-{number:03}"
         identity = Identity(name, Role.AGENT, 1000 + number, data_centre, SERVICE)
         model.servers[name] = ModelServer(identity, SPEEDS[number % len(SPEEDS)])
     for number in range(balancer_count):
-        own = Identity(f"balancer-{number:03}", Role.BALANCER, 1 + number, f"dc-{number % 3}")
-        model.balancers.append(ModelBalancer(Fleet(own)))
+        own = Identity(f"balancer-{number:03}", Role.BALANCER, 1 + number, DATA_CENTRES[number % 3])
+        balancer = ModelBalancer(Fleet(own))
+        if way != CONSTANT_PENALTY:
+            senders = balancer_count - balancer_count // len(DATA_CENTRES)
+            balancer.remote = RemotePreference(
+                own.name, own.data_centre, dict.fromkeys(DATA_CENTRES, senders)
+            )
+        model.balancers.append(balancer)
     for server in model.servers.values():
         for balancer in model.balancers:
             # Reports are spread evenly, and the first ones make every server known.
             balancer.fleet.record_report(server.identity, Load(Availability.READY), 1, 0.0)
             delay_s = model.rng.uniform(0.0, NEAR_REPORT_INTERVAL_S)
             model.schedule(delay_s, partial(model.report, server, balancer, 2))
-    requests = _schedule_arrivals(model, seed, time_s, load_share)
+    requests = _schedule_arrivals(model, seed, time_s, load_share, swing)
     model.run(time_s)
     return _summarise(model, requests, time_s)
 
 
-def _schedule_arrivals(model: Model, seed: int, time_s: float, load_share: float) -> list[Request]:
+def _schedule_arrivals(
+    model: Model, seed: int, time_s: float, load_share: float, swing: float
+) -> list[Request]:
     rng = random.Random(f"arrivals/{seed}")
     rate = load_share * sum(item.speed for item in model.servers.values()) / MEAN_SERVICE_TIME_S
     requests: list[Request] = []
     opened_at = rng.expovariate(rate)
     while opened_at < time_s:
+        phases = [opened_at / SWING_PERIOD_S + place / len(DATA_CENTRES) for place in range(3)]
+        weights = [1 + swing * math.sin(2 * math.pi * phase) for phase in phases]
+        data_centre = rng.choices(DATA_CENTRES, weights)[0]
+        near = [item for item in model.balancers if item.fleet.own.data_centre == data_centre]
         work_s = rng.expovariate(1 / MEAN_SERVICE_TIME_S)
-        request = Request(rng.choice(model.balancers), opened_at, work_s)
+        request = Request(rng.choice(near), opened_at, work_s)
         requests.append(request)
         model.schedule(opened_at, partial(model.place, model, request))
         opened_at += rng.expovariate(rate)
@@ -290,7 +327,8 @@
 
 
 def _summarise(model: Model, requests: list[Request], time_s: float) -> OneSlotResult:
-    measured = [item for item in requests if item.opened_at >= SETTLING_SHARE * time_s]
+    last_s = time_s - TARGET_S
+    measured = [item for item in requests if SETTLING_SHARE * time_s <= item.opened_at <= last_s]
     placed = [item for item in measured if item.placed_at is not None]
     placement_times = sorted(item.placed_at - item.opened_at for item in placed if item.placed_at)
     waits = sorted(item.started_at - item.opened_at for item in placed if item.started_at)
@@ -301,4 +339,9 @@
         wait_p99_s=waits[int(0.99 * len(waits))],
         messages_per_flow=model.messages / len(requests),
         remote_share=sum(item.is_remote for item in placed) / len(placed),
+        in_target_share=sum(
+            item.ended_at is not None and item.ended_at - item.opened_at <= TARGET_S
+            for item in measured
+        )
+        / len(measured),
     )
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot_model.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot_model.py
@@ -13,6 +13,7 @@
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.openings import OVERFLOW_REQUESTS_PER_SLOT
 from fescueseam.handshake.rules import ActiveConfiguration
+from fescueseam.overload.remote import RemotePreference
 
 NEAR_HOP_S, FAR_HOP_S = 0.0003, 0.0008
 """One-way delays within a data centre and between two, in seconds."""
@@ -42,6 +43,8 @@
 
     fleet: Fleet
     announced_idle: deque[ModelServer] = field(factory=deque)
+    remote: RemotePreference | None = None
+    """What it remembers of its flows to other data centres; None adds a constant delay to them."""
 
 
 @define(eq=False)
@@ -53,6 +56,7 @@
     work_s: float
     placed_at: float | None = None
     started_at: float | None = None
+    ended_at: float | None = None
     was_queued: bool = False
     is_remote: bool = False
     tried: set[str] = field(factory=set)
@@ -81,6 +85,7 @@
     now: float = 0.0
     messages: int = 0
     rejected: int = 0
+    far_report_interval_s: float = FAR_REPORT_INTERVAL_S
     _events: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _order: "itertools.count[int]" = field(factory=itertools.count)
 
@@ -128,7 +133,7 @@
         self.schedule(duration_s, lambda: self._end_work(server))
 
     def _end_work(self, server: ModelServer) -> None:
-        server.queue.popleft()
+        server.queue.popleft().ended_at = self.now
         if server.queue:
             self._start_work(server)
         else:
@@ -141,5 +146,5 @@
         server.utilisation += RECENT_WEIGHT * (min(1, busy) - server.utilisation)
         load = Load(Availability.READY, busy, 0, 1, server.utilisation, server.service_time_s)
         balancer.fleet.record_report(server.identity, load, sequence, self.now)
-        interval_s = NEAR_REPORT_INTERVAL_S if is_near else FAR_REPORT_INTERVAL_S
+        interval_s = NEAR_REPORT_INTERVAL_S if is_near else self.far_report_interval_s
         self.schedule(interval_s, partial(self.report, server, balancer, sequence + 1))
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -105,7 +105,10 @@
             effects.append(SendNotice(entry.probe_origin, Located(flow, Holding.YES)))
             entry.probe_origin = 0
         if not segment.opens:
+            if not entry.is_open:
+                self.averages.record_flow()
             entry.is_open = True
+            self.averages.record_answer_bytes(segment.data_bytes)
         self._update_utilisation(now)
         end = self.flows.record_backend_packet(flow, entry, segment, now)
         if end is not None:
@@ -216,6 +219,7 @@
             cold=self.backend.cold_start.is_cold(now),
             leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
+            flow_bytes=self.averages.flow_bytes,
         )
 
     def build_report(
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -1,5 +1,6 @@
 """Decisions of a balancer on the packets of callers."""
 
+import math
 from collections.abc import Callable
 
 from attrs import define, field
@@ -22,6 +23,7 @@
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.searches import HomeSearch
 from fescueseam.handshake.segments import FlowId, Purpose, Segment, format_flow
+from fescueseam.overload.remote import RemoteChange
 
 
 @define(eq=False)
@@ -118,6 +120,7 @@
         if opening is not None and body.holding in (Holding.YES, Holding.HALF_OPEN):
             if opening.agent == sender_name and flow in self.offered.unanswered:
                 self.offered.record_delivery(flow, now)
+                self._record_round_trip(sender_name, now - opening.sent_at)
                 if not opening.even_if_busy:
                     self.placement.record_free_slot_search(opening, True)
             return []
@@ -144,6 +147,8 @@
         self.homes.expire(now, home_retention_s)
         self.handed_over.expire(now, home_retention_s)
         self.offered.expire(now)
+        self.placement.remote.expire(now)
+        self.placement.remote.senders = self.fleet.count_balancers_elsewhere(now)
 
     def tick(self, now: float, heard_until: float | None = None) -> Effects:
         """Handle overdue offers and searches, and retry deferred openings.
@@ -155,6 +160,7 @@
             *self.placement.handle_overdue_offers(now, heard_until, self.discard_flow),
             *self.finder.tick(now, heard_until),
             *self.placement.retry_deferred(now, self.discard_flow),
+            *(_describe_change(item) for item in self.placement.remote.take_changes()),
         ]
 
     def discard_flow(self, flow: FlowId) -> None:
@@ -186,6 +192,11 @@
         # An earlier copy may have opened the flow through another balancer.
         return self._start_search(segment, flow, now)
 
+    def _record_round_trip(self, agent_name: str, duration_s: float) -> None:
+        member = self.fleet.find(agent_name)
+        if member is not None:
+            self.placement.remote.record_round_trip(member.identity.data_centre, duration_s)
+
     def _start_search(
         self, segment: Segment, flow: FlowId, now: float, excluded_agent: str = ""
     ) -> Effects:
@@ -243,3 +254,12 @@
         ):
             return [LogEvent("packet-dropped", {**fields, "reason": "home-unknown"})]
         return [LogEvent("flow-reset", {**fields, "reason": "not-held"}), SendReset(segment)]
+
+
+def _describe_change(change: RemoteChange) -> LogEvent:
+    """Return the log line of flows that begin or cease to leave the data centre."""
+    fields: dict[str, object] = {"service": change.service}
+    for key, delay_s in (("near_ms", change.near_s), ("remote_ms", change.remote_s)):
+        has_delay = delay_s is not None and math.isfinite(delay_s)
+        fields[key] = round(delay_s * 1000) if has_delay and delay_s is not None else None
+    return LogEvent("remote-begun" if change.is_remote else "remote-ended", fields)
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -175,6 +175,7 @@
     load.utilisation = body.load.utilisation
     load.serviceTimeS = body.load.service_time_s
     load.failing = body.load.failing
+    load.flowBytes = body.load.flow_bytes
     load.cold = body.load.cold
     load.leaving = body.load.leaving
     load.hasUnknownFlows = body.load.held.has_unknown_flows
@@ -217,6 +218,7 @@
                 load.hasUnknownFlows,
             ),
             _read_work(load.work),
+            load.flowBytes,
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/handshake/load_averages.py
+++ b/packages/fescueseam/src/fescueseam/handshake/load_averages.py
@@ -8,6 +8,8 @@
 """Time constant of the exponential average of the utilisation, in seconds."""
 SERVICE_TIME_WEIGHT = 0.1
 """Weight of a new service time in its exponential moving average."""
+FLOW_BYTES_WEIGHT = 0.02
+"""Weight of a new flow in the mean of the bytes of the answers on one flow."""
 
 
 @define
@@ -19,6 +21,23 @@
     utilisation: float = 0.0
     """Moving average of the share of busy slots."""
     _updated_at: float = 0.0
+    _answer_bytes: float = 0.0
+    _flows: float = 0.0
+    """Number of flows of which the bytes are, both with the weight of older flows reduced."""
+
+    @property
+    def flow_bytes(self) -> float:
+        """Return the mean bytes of the answers on one flow; 0 before the first flow."""
+        return self._answer_bytes / self._flows if self._flows else 0.0
+
+    def record_flow(self) -> None:
+        """Record a new flow."""
+        self._answer_bytes *= 1 - FLOW_BYTES_WEIGHT
+        self._flows = self._flows * (1 - FLOW_BYTES_WEIGHT) + 1
+
+    def record_answer_bytes(self, data_bytes: int) -> None:
+        """Record data that the backend server sent."""
+        self._answer_bytes += data_bytes
 
     def record_busy_slots(self, busy: int, slots: int, now: float) -> None:
         """Record how many slots have been busy since the last call."""
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -91,6 +91,8 @@
     held: HeldFlows = NO_FLOWS
     work: tuple[RouteWork, ...] = ()
     """Learned work of the service addresses that the backend server has served lately."""
+    flow_bytes: float = 0.0
+    """Mean bytes of the answers on one flow, as learned; 0 before that."""
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from attrs import define, evolve, field
@@ -165,6 +166,17 @@
             )
         return self._balancers
 
+    def count_balancers_elsewhere(self, now: float) -> dict[str, int]:
+        """Return for each data centre how many reachable balancers stand in another one."""
+        counts = Counter(
+            item.identity.data_centre
+            for item in self.list_balancers()
+            if not self.is_unreachable(item, now)
+        )
+        counts[self.own.data_centre] += 1
+        data_centres = {item.identity.data_centre for item in self.members.values()}
+        return {name: counts.total() - counts[name] for name in data_centres}
+
     def is_near(self, member: Member) -> bool:
         """Return whether this process and a member exchange reports often.
 
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -30,6 +30,7 @@
     compute_service_tag,
     format_flow,
 )
+from fescueseam.overload.remote import RemotePreference
 
 STARTUP_GRACE_S = 2.0
 """Time after the start during which no flow is refused, in seconds; agents announce themselves
@@ -56,6 +57,10 @@
     offered: OfferedOpenings = field(factory=OfferedOpenings)
     deferred: DeferredOpenings = field(factory=DeferredOpenings)
     free_slot_searches: FreeSlotSearches = field(factory=FreeSlotSearches)
+    remote: RemotePreference = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.remote = RemotePreference(self.fleet.own.name, self.fleet.own.data_centre)
 
     def has_pending_work(self) -> bool:
         """Return whether an offer without an answer or a deferred opening is pending."""
@@ -224,6 +229,7 @@
         return [LogEvent("opening-dropped", fields)]
 
     def _choose_agent(self, service: str, excluded: set[str], now: float) -> Member | None:
+        penalty_s = self.get_remote_penalty_s()
         return choose_agent(
-            self.fleet, self.configuration, service, excluded, now, self.get_remote_penalty_s()
+            self.fleet, self.configuration, service, excluded, now, penalty_s, self.remote
         )
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -37,6 +37,7 @@
   heldAddresses @9 :List(UInt64);
   hasUnknownFlows @10 :Bool;
   work @11 :List(RouteWork);
+  flowBytes @12 :Float32;
 }
 
 struct RouteWork {
