Give duties by machine size, and step back in order when behind

Cause: the fabric hashes over the balancers in rotation whatever their size, and each took the same share of watches, questions and reports; one that was behind went on until it dropped packets.

Watchers are the largest that are not behind; the budget of questions follows the capacity relative to the neighbours. A process that is behind (late timers, unread packets, a full link) sheds duties, and later leaves the rotation if it is in the smaller half and half of the data centre stays. Without a capacity nothing changes. log: duties-shed, duties-resumed, rotation-left, rotation-joined; gauges duty_step, processing_pressure.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -4,17 +4,18 @@
 from functools import partial
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.containment import contain
-from fescueseam.handshake.member import Identity, Load, Member, Role
+from fescueseam.handshake.member import Identity, Member, Role
 from fescueseam.handshake.notices import HomeHandover, Locate, Located, LocatedBatch, Report
 from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
+from fescueseam_daemon.handshake.duties import DutyMonitor
 from fescueseam_daemon.handshake.node import HTTP_PORT_OFFSET, MAINTENANCE_INTERVAL_S, Node
 from fescueseam_daemon.handshake.rules_codec import decode_rules, encode_rules
 from fescueseam_daemon.handshake.settings import SocketAddress
@@ -62,6 +63,7 @@
     configuration: ActiveConfiguration = field(factory=ActiveConfiguration)
     leaving: bool = False
     ticker: Ticker = field(init=False)
+    duties: DutyMonitor = field(init=False)
     _fetching_version: int = 0
     """Version that is being fetched from another balancer; it is not fetched twice."""
     _nursery: trio.Nursery | None = None
@@ -79,6 +81,7 @@
         )
         sockets = (self.node.peer_socket, self.node.notice_socket)
         self.ticker = Ticker(self.node, self.core, sockets)
+        self.duties = DutyMonitor(self.node, self.core, self._report_to_neighbours)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -106,6 +109,7 @@
                 ("ticker", self.ticker.run),
                 ("maintenance", self._run_periodic_tasks),
                 ("reports", self._send_due_reports),
+                ("duties", self.duties.run),
             ):
                 nursery.start_soon(node.barrier.keep_running, place, loop)
 
@@ -122,7 +126,10 @@
     def is_ready(self) -> bool:
         """Return whether the fabric may send flows here."""
         return (
-            not self.leaving and self.configuration.is_complete() and bool(self.node.fleet.members)
+            not self.leaving
+            and not self.duties.is_resting()
+            and self.configuration.is_complete()
+            and bool(self.node.fleet.members)
         )
 
     def _receive_caller_packet(self, data: bytes, sender: str) -> None:
@@ -357,6 +364,9 @@
             if due:
                 self._send_report(due)
 
+    def _report_to_neighbours(self) -> None:
+        self._send_report(self.node.fleet.list_neighbours(trio.current_time()))
+
     def _send_report(
         self, members: Iterable[Member] | None = None, requests_report: bool = False
     ) -> None:
@@ -387,7 +397,7 @@
         )
         return Report(
             self.node.own,
-            Load(leaving=self.leaving),
+            evolve(self.node.fleet.own_load, leaving=self.leaving),
             self.configuration.rules.version,
             self.configuration.outage,
             tuple(
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -110,6 +110,8 @@
     """Socket for packets of callers (balancers) or of the backend server (agents)."""
     barrier: FailureBarrier = field(init=False)
     notice_codec: NoticeCodec = field(init=False)
+    own_gauges: dict[str, float] = field(factory=dict)
+    """Gauges of the role of this process."""
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
@@ -135,14 +137,19 @@
         limit_s = self.settings.store_silence_limit_s
         return min(MAX_STORE_WATCH_S, limit_s - WATCH_MARGIN_S - CHANGE_SPREAD_S)
 
+    @property
+    def sockets(self) -> tuple[UdpSocket, ...]:
+        """Return the UDP sockets."""
+        return (self.notice_socket, self.peer_socket, self.edge_socket)
+
     def start(self) -> None:
         """Bind the UDP sockets."""
-        for sock in (self.notice_socket, self.peer_socket, self.edge_socket):
+        for sock in self.sockets:
             sock.start()
 
     async def close(self) -> None:
         """Close all sockets and connections."""
-        for sock in (self.notice_socket, self.peer_socket, self.edge_socket):
+        for sock in self.sockets:
             sock.close()
         with trio.move_on_after(0.1) as scope:
             scope.shield = True
@@ -303,10 +310,10 @@
 
     def collect_gauges(self) -> dict[str, float]:
         """Return the values of the gauges."""
-        sockets = (self.notice_socket, self.peer_socket, self.edge_socket)
         return {
             "members": float(len(self.fleet.members)),
-            "datagrams_not_sent": float(sum(sock.unsent_datagrams for sock in sockets)),
+            "datagrams_not_sent": float(sum(sock.unsent_datagrams for sock in self.sockets)),
+            **self.own_gauges,
         }
 
     def describe_messages(self) -> dict[str, int]:
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -73,6 +73,10 @@
     store_silence_limit_s: float = DEFAULT_STORE_SILENCE_LIMIT_MS / 1000
     """Time within which a change is in force although connections to the store went silent before
     it, in seconds."""
+    processor_share: float | None = None
+    """Share of each processor that this process may use; 0 or None if it is not known."""
+    processors: float | None = None
+    link_mbps: float | None = None
     keys: "tuple[KeySettings, ...]" = ()
     """Keys of the notices between processes; the first signs. Without any, they are not signed."""
 
@@ -98,6 +102,9 @@
     "log_lines_per_s": (int, float),
     "remote_penalty_ms": (int, float),
     "store_silence_limit_ms": (int, float),
+    "processor_share": (int, float, type(None)),
+    "processors": (int, float, type(None)),
+    "link_mbps": (int, float, type(None)),
     "keys": (list,),
 }
 """Accepted types of the value of each key."""
@@ -111,6 +118,9 @@
     "log_lines_per_s",
     "remote_penalty_ms",
     "store_silence_limit_ms",
+    "processor_share",
+    "processors",
+    "link_mbps",
     "keys",
 }
 KEY_RANGES = {
@@ -118,6 +128,10 @@
     "store_silence_limit_ms": (MIN_STORE_SILENCE_LIMIT_MS, MAX_STORE_SILENCE_LIMIT_MS),
 }
 """Least and largest value of each key that has both."""
+MACHINE_KEYS = ("processor_share", "processors", "link_mbps")
+"""Keys of what the machine has."""
+MAX_MACHINE_SIZE = 10_000_000
+"""Bound of the values of these keys; also excludes infinity, which JSON readers accept."""
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 AGENT_KEYS = ("heartbeats", "answers", "backend", "service")
 
@@ -199,6 +213,9 @@
         yield Fault(FaultId.BAD_PORT, key, f"{value} is not a valid port", hint, file_name)
     if key in ("heartbeat_interval_ms", "log_lines_per_s") and value <= 0:
         yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is not positive", "", file_name)
+    if key in MACHINE_KEYS and value is not None and not 0 <= value < MAX_MACHINE_SIZE:
+        hint = f"use a number below {MAX_MACHINE_SIZE}, or 0 or nothing if it is not known"
+        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
     if key in KEY_RANGES:
         least, most = KEY_RANGES[key]
         if not least <= value <= most:
@@ -284,6 +301,9 @@
         store_silence_limit_s=(
             values.get("store_silence_limit_ms", DEFAULT_STORE_SILENCE_LIMIT_MS) / 1000
         ),
+        processor_share=values.get("processor_share"),
+        processors=values.get("processors"),
+        link_mbps=values.get("link_mbps"),
         keys=_build_keys(values.get("keys", [])),
     )
 
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/tests/test_settings.py
@@ -40,6 +40,12 @@
     assert settings.heartbeat_interval_s == pytest.approx(0.77)
 
 
+def test_size_of_the_machine_may_be_unknown() -> None:
+    assert parse().processor_share is parse(link_mbps=None).link_mbps is None
+    settings = parse(processor_share=0.5, processors=3, link_mbps=10.0)
+    assert (settings.processor_share, settings.processors, settings.link_mbps) == (0.5, 3, 10.0)
+
+
 def test_last_ports_can_be_used() -> None:
     settings = parse(peer_port=65_533, peer_port_last=65_535, metrics_port=65_535)
     assert settings.peer_port == 65_533
@@ -67,6 +73,10 @@
         ({"metrics_port": 65_536}, "E012"),
         ({"remote_penalty_ms": -1}, "E017"),
         ({"remote_penalty_ms": 20_000}, "E017"),
+        ({"processor_share": -0.1}, "E017"),
+        ({"processors": -1}, "E017"),
+        ({"link_mbps": float("nan")}, "E017"),
+        ({"link_mbps": float("inf")}, "E017"),
         ({"store_silence_limit_ms": 1999}, "E017"),
         ({"store_silence_limit_ms": 60_001}, "E017"),
         ({"store_silence_limit_ms": "4000"}, "E004"),
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/udp.py
@@ -1,5 +1,6 @@
 """Non-blocking UDP sockets of a process."""
 
+import errno
 import socket
 from collections.abc import Callable
 
@@ -8,6 +9,7 @@
 from fescueseam_daemon.sockets import BATCH_DATAGRAMS, open_udp
 
 MAX_DATAGRAM_BYTES = 65_535
+FULL_QUEUE_ERRORS = (errno.EAGAIN, errno.ENOBUFS)
 SINGLE_READS = 3
 """Number of waits after which one datagram is read, once a batch held no more than one. A second
 read would nearly always find nothing then, and costs as much as the first."""
@@ -23,6 +25,9 @@
         self._sock: socket.socket | None = None
         self.unsent_datagrams = 0
         """Number of datagrams that the kernel did not accept or reported as undeliverable."""
+        self.refused_datagrams = 0
+        """Number of datagrams that the kernel did not accept: its queue to the link is full."""
+        self.sent_bytes = 0
 
     def start(self) -> None:
         """Bind the socket; raise SettingsError if it cannot be bound."""
@@ -53,8 +58,11 @@
             return
         try:
             self._sock.sendto(data, (address, port))
-        except OSError:
+            self.sent_bytes += len(data)
+        except OSError as exc:
             self.unsent_datagrams += 1
+            if exc.errno in FULL_QUEUE_ERRORS:
+                self.refused_datagrams += 1
 
     async def receive(self, handle: Callable[[bytes, str], None]) -> None:
         """Call `handle` with each datagram and its sender's address, until cancelled."""
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -175,7 +175,6 @@
     load.utilisation = body.load.utilisation
     load.serviceTimeS = body.load.service_time_s
     load.failing = body.load.failing
-    load.flowBytes = body.load.flow_bytes
     load.cold = body.load.cold
     load.leaving = body.load.leaving
     load.hasUnknownFlows = body.load.held.has_unknown_flows
@@ -183,6 +182,10 @@
     load.heldAddresses = [_encode_service_address(item) for item in addresses]
     if body.load.work:
         _write_work(load.init("work", len(body.load.work)), body.load.work)
+    target.flowBytes = body.load.flow_bytes
+    target.capacity = body.load.capacity
+    target.lagging = body.load.lagging
+    target.resting = body.load.resting
     target.rulesVersion = body.rules_version
     target.outageRevision = body.outage.revision
     target.dataCentresOut = sorted(body.outage.data_centres)
@@ -218,7 +221,10 @@
                 load.hasUnknownFlows,
             ),
             _read_work(load.work),
-            load.flowBytes,
+            source.flowBytes,
+            source.capacity,
+            source.lagging,
+            source.resting,
         ),
         rules_version=source.rulesVersion,
         outage=Outage(source.outageRevision, frozenset(source.dataCentresOut)),
--- a/packages/fescueseam/src/fescueseam/handshake/finder.py
+++ b/packages/fescueseam/src/fescueseam/handshake/finder.py
@@ -80,13 +80,18 @@
         if denying_agents:
             search.answers = dict.fromkeys(denying_agents, Holding.NO)
             return self._ask_agents(search, now)
-        neighbours = self.fleet.list_neighbours(now) if self.hints.should_ask() else []
+        neighbours = self._list_asked_neighbours(now) if self.hints.should_ask() else []
         if not neighbours or not self.budget.take(len(neighbours), now):
             return self._ask_agents(search, now)
         search.pending_hints = {member.identity.name for member in neighbours}
         body = Locate(flow, services[0])
         return [SendNotice(member.identity.address, body) for member in neighbours]
 
+    def _list_asked_neighbours(self, now: float) -> list[Member]:
+        # One that is behind would answer after the timeout.
+        neighbours = self.fleet.list_neighbours(now)
+        return [member for member in neighbours if not member.load.lagging] or neighbours
+
     def buffer_segment(self, search: HomeSearch, segment: Segment) -> None:
         """Let a packet wait for the end of the search for its flow, if there is room."""
         has_room = self.buffered_segments < BUFFERED_SEGMENTS_IN_ALL_LIMIT
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -93,6 +93,12 @@
     """Learned work of the service addresses that the backend server has served lately."""
     flow_bytes: float = 0.0
     """Mean bytes of the answers on one flow, as learned; 0 before that."""
+    capacity: float = 0.0
+    """Capacity of a balancer's machine, 1 for a whole processor; 0 if its settings do not say."""
+    lagging: bool = False
+    """Whether a balancer is behind with its packets and leaves duties to others."""
+    resting: bool = False
+    """Whether a balancer has left the rotation for a time because it is behind."""
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -58,6 +58,10 @@
     members: dict[str, Member] = field(factory=dict)
     holders: HolderIndex = field(factory=HolderIndex)
     """Which flows the agents hold, as they have reported."""
+    own_load: Load = field(factory=Load)
+    """What this process reports of itself, if it is a balancer."""
+    far_report_stretch: float = 1.0
+    """Factor on the intervals of the reports to far members."""
     _by_address: dict[int, Member] = field(factory=dict)
     _agents_by_service: dict[str, tuple[Member, ...]] = field(factory=dict)
     """Agents of each service, sorted by name; built on first use and cleared on changes."""
@@ -336,10 +340,11 @@
         near, far = self._split(self.members.values())
         far_balancers = [item for item in self.list_balancers() if not self.is_near(item)]
         far_agents = [item for item in far if item.identity.role is Role.AGENT]
+        stretch = self.far_report_stretch
         return [
             (compute_near_balancer_interval(len(near)), near),
-            (compute_far_balancer_interval(len(far_balancers)), far_balancers),
-            (compute_keepalive_interval(len(far_agents)), far_agents),
+            (compute_far_balancer_interval(len(far_balancers)) * stretch, far_balancers),
+            (compute_keepalive_interval(len(far_agents)) * stretch, far_agents),
         ]
 
     def _split(self, members: Iterable[Member]) -> tuple[list[Member], list[Member]]:
--- a/packages/fescueseam/src/fescueseam/handshake/questions.py
+++ b/packages/fescueseam/src/fescueseam/handshake/questions.py
@@ -20,12 +20,14 @@
     """A token bucket for the notices that ask for the homes of flows."""
 
     tokens: float = QUESTIONS_BURST
+    share: float = 1.0
+    """Factor on the rate, by what the machine has and whether it is behind."""
     _refilled_at: float = 0.0
 
     def take(self, questions: int, now: float) -> bool:
         """Take tokens for some questions; return whether they may be sent now."""
         elapsed_s = max(0.0, now - self._refilled_at)
-        self.tokens = min(QUESTIONS_BURST, self.tokens + elapsed_s * QUESTIONS_PER_S)
+        self.tokens = min(QUESTIONS_BURST, self.tokens + elapsed_s * QUESTIONS_PER_S * self.share)
         self._refilled_at = now
         if self.tokens < min(questions, QUESTIONS_BURST):
             return False
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -37,7 +37,6 @@
   heldAddresses @9 :List(UInt64);
   hasUnknownFlows @10 :Bool;
   work @11 :List(RouteWork);
-  flowBytes @12 :Float32;
 }
 
 struct RouteWork {
@@ -63,6 +62,10 @@
   asksBack @7 :Bool;
   asksMembers @8 :Bool;
   storeEra @9 :UInt64;
+  capacity @10 :Float32;
+  flowBytes @11 :Float32;
+  lagging @12 :Bool;
+  resting @13 :Bool;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_codec.py
@@ -31,7 +31,9 @@
 IDENTITY = Identity("agent-1", Role.AGENT, 0x0A010010, "a", "alerts", 77)
 HELD = HeldFlows(frozenset({(0xC6120001, 443), (0xFFFFFFFF, 65_535)}), True)
 WORK = (RouteWork((0xC6120001, 443), 0.015625, 0.0078125, 3.0),)
-LOAD = Load(Availability.READY, 2, 30, 5, 0.5, 0.25, True, False, 0.125, HELD, WORK, 2048.0)
+LOAD = Load(
+    Availability.READY, 2, 30, 5, 0.5, 0.25, True, False, 0.125, HELD, WORK, 2048.0, 0.5, True, True
+)
 REPORT = Report(
     IDENTITY,
     LOAD,
--- a/packages/fescueseam/src/fescueseam/handshake/tests/test_watchers.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_watchers.py
@@ -61,3 +61,16 @@
     fleet.record_report(far, Load(), 1, 10.0)
     fleet.record_report(agent, Load(Availability.READY), 1, 10.0)
     assert is_watcher(fleet, 10.0)
+
+
+def test_large_balancers_that_are_not_behind_watch() -> None:
+    fleets = build_fleets(12)
+    loads = [Load(capacity=1.0 if number < 5 else 0.25) for number in range(12)]
+    loads[0] = Load(capacity=1.0, lagging=True)
+    for fleet, load in zip(fleets, loads, strict=True):
+        fleet.own_load = load
+        for other in fleets:
+            other.record_report(fleet.own, load, 2, 0.2)
+    watchers = list_watchers(fleets, 0.3)
+    assert len(watchers) == WATCHERS_PER_DATA_CENTRE
+    assert watchers <= {f"balancer-a{number}" for number in range(1, 5)}
