--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
@@ -114,18 +114,19 @@
         ]
 
     def _log(self, change: StepChange) -> None:
-        events = {
-            (Step.NONE, Step.SHED): "duties-shed",
-            (Step.SHED, Step.NONE): "duties-resumed",
-            (Step.SHED, Step.REST): "rotation-left",
-            (Step.REST, Step.SHED): "rotation-joined",
-        }
         fields = {
             "pressure": change.pressure,
             "capacity": round(self.control.capacity, 2),
             "in_rotation": change.in_rotation,
         }
-        self.node.log_event(events[change.before, change.after], fields)
+        if change.after is Step.REST:
+            self.node.log_event("rotation-left", fields)
+        elif change.before is Step.REST:
+            self.node.log_event("rotation-joined", fields)
+        elif change.after is Step.SHED:
+            self.node.log_event("duties-shed", fields)
+        else:
+            self.node.log_event("duties-resumed", fields)
 
     def _count_unsent(self) -> int:
         return sum(sock.refused_datagrams for sock in self.node.sockets)
--- a/packages/fescueseam/src/fescueseam/handshake/balancer.py
+++ b/packages/fescueseam/src/fescueseam/handshake/balancer.py
@@ -262,4 +262,6 @@
     for key, delay_s in (("near_ms", change.near_s), ("remote_ms", change.remote_s)):
         has_delay = delay_s is not None and math.isfinite(delay_s)
         fields[key] = round(delay_s * 1000) if has_delay and delay_s is not None else None
-    return LogEvent("remote-begun" if change.is_remote else "remote-ended", fields)
+    if change.is_remote:
+        return LogEvent("remote-begun", fields)
+    return LogEvent("remote-ended", fields)
