Explain uneven balancers and remote flows; rest only beside others with room

Change: a balancer leaves the rotation only if most of those that stay are not behind, since its flows would make them later; ranks of remote servers are bounded.

--- /dev/null
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/test_remote_flows.py
@@ -0,0 +1,72 @@
+"""Flows that leave their data centre, from the opening to the report.
+
+Load pattern: a burst in one data centre whose only server has one slot, beside an idle data centre.
+Failure: the other data centre is cut off in the burst.
+"""
+
+import pytest
+from attrs import evolve
+
+from fescueseam.handshake.agent import Agent
+from fescueseam.handshake.tests.conftest import (
+    RULES,
+    Cluster,
+    FakeBackend,
+    build_flow,
+)
+from fescueseam.overload.needs import RouteNeeds
+
+TARGET_S = 0.25
+BURST = 12
+SERVICE_TIME_S = 0.2
+NEAR_AGENT, FAR_AGENTS = 11, (21, 22, 23)
+
+
+@pytest.fixture
+def uneven() -> Cluster:
+    """Return balancers in "a" and "b", one server of one slot in "a" and three in "b"."""
+    route = evolve(RULES.routes[0], needs=RouteNeeds(TARGET_S, 4 * TARGET_S))
+    built = Cluster(rules=evolve(RULES, routes=(route,)))
+    built.add_balancer(1, "a")
+    built.add_balancer(2, "b")
+    built.add_agent(NEAR_AGENT, FakeBackend("near", 1, SERVICE_TIME_S), data_centre="a")
+    for address in FAR_AGENTS:
+        backend = FakeBackend(f"far{address}", 4, SERVICE_TIME_S)
+        built.add_agent(address, backend, data_centre="b")
+    built.run(3.0)
+    return built
+
+
+def send_burst(cluster: Cluster, first: int) -> None:
+    for number in range(first, first + BURST):
+        cluster.open(build_flow(number), 1)
+        cluster.request(build_flow(number), 1)
+
+
+def test_burst_leaves_and_later_flows_stay(uneven: Cluster) -> None:
+    send_burst(uneven, 0)
+    uneven.run(3.0)
+    assert uneven.count_events("remote-begun") == 1
+    homes = [uneven.find_home(build_flow(number)) for number in range(BURST)]
+    assert homes[0] == NEAR_AGENT
+    assert set(homes) & set(FAR_AGENTS)
+    for number in range(BURST, BURST + 3):
+        uneven.open(build_flow(number), 1)
+        uneven.run(5.0)
+        assert uneven.find_home(build_flow(number)) == NEAR_AGENT
+    assert uneven.count_events("remote-ended") == 1
+    agent = uneven.nodes[NEAR_AGENT]
+    assert isinstance(agent, Agent)
+    load = agent.describe_load(uneven.now)
+    assert 0 < load.flow_bytes <= 500
+    assert uneven.resets == []
+
+
+def test_burst_is_served_nearby_when_the_other_data_centre_is_cut_off(uneven: Cluster) -> None:
+    uneven.disconnected |= {2, *FAR_AGENTS}
+    uneven.run(10.0)
+    for number in range(4):
+        uneven.open(build_flow(number), 1)
+    homes = {uneven.find_home(build_flow(number)) for number in range(4)}
+    assert homes == {NEAR_AGENT}
+    assert uneven.count_events("remote-begun") == 0
--- a/packages/fescueseam/src/fescueseam/overload/duties.py
+++ b/packages/fescueseam/src/fescueseam/overload/duties.py
@@ -12,7 +12,7 @@
 from attrs import define, field, frozen
 
 LINK_MBPS_PER_PROCESSOR = 20.0
-"""Link that a whole processor of forwarding fills, in Mbit/s: 8,000 packets a second in and out."""
+"""Link that counts like a whole processor, in Mbit/s."""
 LATE_S = 0.04
 """Delay of a timer from which the process counts as behind, in seconds. Together with a way of some
 milliseconds, answers are then read close to the timeout of offers (0.06 s)."""
@@ -108,14 +108,16 @@
     """Return whether a balancer may leave the rotation.
 
     Only the smaller half may, by capacity and a hash of the name, and none if those that may leave
-    at the same moment would take the data centre below half.
+    at the same moment would take the data centre below half, or if most of those that stay are
+    behind too and could not take its flows.
     """
     others = list(neighbours)
     total = len(others) + 1
     ahead = [item for item in others if _rank(item) < _rank(own)]
     leaving_too = sum(item.in_rotation and item.lagging for item in ahead)
     staying = sum(item.in_rotation for item in others) - leaving_too
-    return len(ahead) < total // 2 and 2 * staying >= total
+    calm = sum(item.in_rotation and not item.lagging for item in others)
+    return len(ahead) < total // 2 and 2 * staying >= total and 2 * calm >= staying
 
 
 def must_return(neighbours: Iterable[Peer]) -> bool:
--- a/packages/fescueseam/src/fescueseam/overload/remote.py
+++ b/packages/fescueseam/src/fescueseam/overload/remote.py
@@ -34,6 +34,8 @@
 change with every small difference."""
 NEAR_EQUAL_SHARE = 0.5
 """Share of the service time within which two remote servers count as equal."""
+RANKS_LIMIT = 4096
+"""Largest number of servers whose ranks are kept; more are computed again."""
 SENT_RETENTION_S = 10.0
 """Time for which flows sent to a server are remembered, in seconds: several service times."""
 
@@ -201,6 +203,8 @@
         for name, (_, at) in list(self._sent.items()):
             if now - at >= SENT_RETENTION_S:
                 del self._sent[name]
+        if len(self._ranks) > RANKS_LIMIT:
+            self._ranks.clear()
 
     def _record_flow_bytes(self, flow_bytes: float) -> None:
         if flow_bytes > 0:
--- a/packages/fescueseam/src/fescueseam/overload/tests/test_duties.py
+++ b/packages/fescueseam/src/fescueseam/overload/tests/test_duties.py
@@ -18,6 +18,7 @@
     Step,
     compute_capacity,
     compute_share,
+    may_rest,
 )
 
 SAMPLE_S = 0.05
@@ -117,6 +118,21 @@
     assert all(control.step > Step.NONE for control in centre.controls)
 
 
+@pytest.mark.parametrize("behind", [{0}, {0, 1, 2}, {0, 1, 2, 3, 4}, {5, 6}])
+def test_half_stay_in_rotation_when_some_are_behind(behind: set[int]) -> None:
+    centre = DataCentre([SMALL] * 5 + [LARGE] * 2)
+    centre.run(START_GRACE_S + 20.0, behind)
+    assert 2 * centre.least_in_rotation >= len(centre.controls)
+    assert set(centre.list_resting()) <= behind
+
+
+@pytest.mark.parametrize("count", [1, 2, 5, 8, 21])
+def test_half_stay_even_if_nobody_knows_that_the_others_leave(count: int) -> None:
+    peers = [Peer(f"balancer-{number}", LARGE) for number in range(count)]
+    leaving = [own for own in peers if may_rest(own, [item for item in peers if item is not own])]
+    assert len(leaving) == count // 2
+
+
 def test_nobody_leaves_while_reports_are_lost() -> None:
     centre = DataCentre([SMALL] * 4, reports_arrive=lambda now: now < START_GRACE_S - HEARD_S)
     centre.run(START_GRACE_S + 10.0, {0, 1, 2, 3})
--- a/packages/fescueseam/src/fescueseam/overload/tests/test_remote.py
+++ b/packages/fescueseam/src/fescueseam/overload/tests/test_remote.py
@@ -13,7 +13,13 @@
 from fescueseam.handshake.members import MEMBER_TIMEOUT_S, Fleet
 from fescueseam.handshake.rules import ActiveConfiguration, Outage, Route, RouteShare, Rules
 from fescueseam.overload.needs import RouteNeeds
-from fescueseam.overload.remote import HOLD_S, RemotePreference, compute_way_cost
+from fescueseam.overload.remote import (
+    HOLD_S,
+    RANKS_LIMIT,
+    SENT_RETENTION_S,
+    RemotePreference,
+    compute_way_cost,
+)
 
 SERVICE = "desk"
 TARGET_S = 0.25
@@ -144,3 +150,15 @@
     fleet.record_report(near.identity, near.load, 2, now)
     assert place(fleet, configuration, remote, now) == "s00"
     assert fleet.count_balancers_elsewhere(now)["b"] == 1
+
+
+def test_memory_of_remote_servers_is_bounded() -> None:
+    remote = RemotePreference("balancer-0", "a")
+    for number in range(RANKS_LIMIT + 1):
+        name = f"s{number}"
+        remote.record_sent(name, SERVICE_TIME_S, 0.0)
+        assert remote.choose_remote([(0.1, name)], SERVICE_TIME_S) == name
+    assert remote.estimate_sent("s0", "b", SERVICE_TIME_S, 0.0) == 1.0
+    remote.expire(SENT_RETENTION_S)
+    assert remote.estimate_sent("s0", "b", SERVICE_TIME_S, 0.0) == 0.0
+    assert not remote._ranks
