--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -81,7 +81,7 @@
         )
         sockets = (self.node.peer_socket, self.node.notice_socket)
         self.ticker = Ticker(self.node, self.core, sockets)
-        self.duties = DutyMonitor(self.node, self.core, self._report_to_neighbours)
+        self.duties = DutyMonitor(self.node, self.core, self._send_report)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -126,8 +126,7 @@
     def is_ready(self) -> bool:
         """Return whether the fabric may send flows here."""
         return (
-            not self.leaving
-            and not self.duties.is_resting()
+            not (self.leaving or self.duties.is_resting())
             and self.configuration.is_complete()
             and bool(self.node.fleet.members)
         )
@@ -364,9 +363,6 @@
             if due:
                 self._send_report(due)
 
-    def _report_to_neighbours(self) -> None:
-        self._send_report(self.node.fleet.list_neighbours(trio.current_time()))
-
     def _send_report(
         self, members: Iterable[Member] | None = None, requests_report: bool = False
     ) -> None:
@@ -387,14 +383,7 @@
         A reply to a request for members lists the reachable ones that the requester's role uses.
         """
         now = trio.current_time()
-        fleet = self.node.fleet
-        known_members = tuple(
-            member.identity
-            for member in fleet.members.values()
-            if requester_role is not None
-            and (requester_role is Role.BALANCER or member.identity.role is Role.BALANCER)
-            and not fleet.is_unreachable(member, now)
-        )
+        known_members = self.node.fleet.list_members_for(requester_role, now)
         return Report(
             self.node.own,
             evolve(self.node.fleet.own_load, leaving=self.leaving),
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
@@ -1,12 +1,12 @@
 """Measures whether a balancer is behind, and applies the step that it takes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 from attrs import define, field
 
 from fescueseam.handshake.balancer import Balancer
-from fescueseam.handshake.member import Load
+from fescueseam.handshake.member import Load, Member
 from fescueseam.handshake.members import NEIGHBOUR_TIMEOUT_S
 from fescueseam.overload.duties import (
     SHED_REPORT_STRETCH,
@@ -32,8 +32,8 @@
 
     node: Node
     core: Balancer
-    on_change: Callable[[], None]
-    """Reports the new state to the neighbours."""
+    send_report: Callable[[Iterable[Member]], None]
+    """Reports the state of this process to some members."""
     control: DutyControl = field(init=False)
     _unsent: int = 0
     _sent_bytes: int = 0
@@ -96,7 +96,7 @@
         )
         fleet.far_report_stretch = SHED_REPORT_STRETCH if step > Step.NONE else 1.0
         self._log(change)
-        self.on_change()
+        self.send_report(fleet.list_neighbours(now))
 
     def _list_peers(self, now: float) -> list[Peer]:
         own = self.node.own
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -217,6 +217,16 @@
             and now - member.last_heard_at < NEIGHBOUR_TIMEOUT_S
         ]
 
+    def list_members_for(self, requester: Role | None, now: float) -> tuple[Identity, ...]:
+        """Return the reachable members that a process of some role uses; none for no role."""
+        return tuple(
+            member.identity
+            for member in self.members.values()
+            if requester is not None
+            and (requester is Role.BALANCER or member.identity.role is Role.BALANCER)
+            and not self.is_unreachable(member, now)
+        )
+
     def is_unreachable(self, member: Member, now: float) -> bool:
         """Return whether a member is silent past its timeout and so presumed to hold no flows."""
         if member.last_heard_at == -math.inf:
