Take the whole processor time of a machine as its capacity

Cause: the platform provides a share of a core that is several times as fast, which a single thread uses in full; the cap at one processor made balancers of 2.15 and of 1 equal. Each wake-up and system call costs there, so samples are taken each 100 ms instead of 50 ms.

--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/duties.py
@@ -19,9 +19,9 @@
 )
 from fescueseam_daemon.handshake.node import Node
 
-SAMPLE_INTERVAL_S = 0.05
+SAMPLE_INTERVAL_S = 0.1
 """Interval between samples, in seconds."""
-UPDATES_PER_SAMPLES = 5
+SAMPLES_PER_UPDATE = 3
 """Number of samples after which the step is chosen again."""
 BITS_PER_MBIT = 1_000_000
 
@@ -56,7 +56,7 @@
             await trio.sleep_forever()
         self._unsent, self._sent_bytes = self._count_unsent(), self._count_sent_bytes()
         while True:
-            for _ in range(UPDATES_PER_SAMPLES):
+            for _ in range(SAMPLES_PER_UPDATE):
                 due = trio.current_time() + SAMPLE_INTERVAL_S
                 await trio.sleep_until(due)
                 self._sample(trio.current_time() - due)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -76,6 +76,7 @@
     processor_share: float | None = None
     """Share of each processor that this process may use; 0 or None if it is not known."""
     processors: float | None = None
+    """Factor on that share; 0 or None counts as 1."""
     link_mbps: float | None = None
     keys: "tuple[KeySettings, ...]" = ()
     """Keys of the notices between processes; the first signs. Without any, they are not signed."""
--- a/packages/fescueseam/src/fescueseam/overload/duties.py
+++ b/packages/fescueseam/src/fescueseam/overload/duties.py
@@ -83,16 +83,13 @@
 def compute_capacity(
     processor_share: float | None, processors: float | None, link_mbps: float | None
 ) -> float:
-    """Return a machine's capacity, 1 for a whole processor; 0 if nothing is known.
-
-    A process uses one processor at most.
-    """
+    """Return a machine's capacity, 1 for a whole processor; 0 if nothing is known."""
     limits = []
     if processor_share:
         limits.append(processor_share * (processors or 1))
     if link_mbps:
         limits.append(link_mbps / LINK_MBPS_PER_PROCESSOR)
-    return min(1.0, *limits) if limits else 0.0
+    return min(limits, default=0.0)
 
 
 def compute_share(capacity: float, neighbours: Iterable[float], step: Step) -> float:
