--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -4,18 +4,20 @@
 from functools import partial
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fescueseam.exceptions import MessageError, StoreError
 from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.containment import contain
-from fescueseam.handshake.member import Identity, Load, Member, Role
+from fescueseam.handshake.member import Identity, Member, Role
 from fescueseam.handshake.notices import HomeHandover, Locate, Located, LocatedBatch, Report
 from fescueseam.handshake.opening_placement import STARTUP_GRACE_S
 from fescueseam.handshake.outages import Outage, OutageHolds
+from fescueseam.handshake.reports import build_balancer_report
 from fescueseam.handshake.rules import ActiveConfiguration, Rules
 from fescueseam.handshake.segments import format_address, parse_address
 from fescueseam.handshake.watchers import is_watcher
+from fescueseam_daemon.handshake.duties import DutyMonitor
 from fescueseam_daemon.handshake.node import HTTP_PORT_OFFSET, MAINTENANCE_INTERVAL_S, Node
 from fescueseam_daemon.handshake.rules_codec import decode_rules, encode_rules
 from fescueseam_daemon.handshake.settings import SocketAddress
@@ -63,6 +65,7 @@
     configuration: ActiveConfiguration = field(factory=ActiveConfiguration)
     leaving: bool = False
     ticker: Ticker = field(init=False)
+    duties: DutyMonitor = field(init=False)
     _fetching_version: int = 0
     """Version that is being fetched from another balancer; it is not fetched twice."""
     _nursery: trio.Nursery | None = None
@@ -81,6 +84,7 @@
         )
         sockets = (self.node.peer_socket, self.node.notice_socket)
         self.ticker = Ticker(self.node, self.core, sockets)
+        self.duties = DutyMonitor(self.node, self.core, self._send_report)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -109,6 +113,7 @@
                 ("ticker", self.ticker.run),
                 ("maintenance", self._run_periodic_tasks),
                 ("reports", self._send_due_reports),
+                ("duties", self.duties.run),
             ):
                 nursery.start_soon(node.barrier.keep_running, place, loop)
 
@@ -125,7 +130,9 @@
     def is_ready(self) -> bool:
         """Return whether the fabric may send flows here."""
         return (
-            not self.leaving and self.configuration.is_complete() and bool(self.node.fleet.members)
+            not (self.leaving or self.duties.is_resting())
+            and self.configuration.is_complete()
+            and bool(self.node.fleet.members)
         )
 
     def _receive_caller_packet(self, data: bytes, sender: str) -> None:
@@ -387,31 +394,8 @@
         requests_members: bool = False,
         requester_role: Role | None = None,
     ) -> Report:
-        """Return a report.
-
-        A reply to a request for members lists the reachable ones that the requester's role uses.
-        """
-        now = trio.current_time()
-        fleet = self.node.fleet
-        known_members = tuple(
-            member.identity
-            for member in fleet.members.values()
-            if requester_role is not None
-            and (requester_role is Role.BALANCER or member.identity.role is Role.BALANCER)
-            and not fleet.is_unreachable(member, now)
-        )
-        return Report(
-            self.node.own,
-            Load(leaving=self.leaving),
-            self.configuration.rules.version,
-            self.configuration.outage,
-            tuple(
-                (service.name, service.cold_openings_per_s)
-                for service in self.configuration.rules.services
-            ),
-            known_members,
-            requests_report,
-            requests_members,
-            self.configuration.holds.compute_remaining(now),
-            len(fleet.members) + 1 if self.configuration.outage.era else 0,
+        """Return a report; a reply to a request for members lists those of use to the requester."""
+        report = build_balancer_report(
+            self.node.fleet, self.configuration, self.leaving, requester_role, trio.current_time()
         )
+        return evolve(report, requests_report=requests_report, requests_members=requests_members)
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/settings.py
@@ -83,6 +83,11 @@
     store_rewrites_per_s: float = DEFAULT_STORE_REWRITES_PER_S
     """Largest number of calls per second with which all processes together write their entries
     again after the store has come back from an older copy."""
+    processor_share: float | None = None
+    """Share of each processor that this process may use; 0 or None if it is not known."""
+    processors: float | None = None
+    """Factor on that share; 0 or None counts as 1."""
+    link_mbps: float | None = None
     keys: "tuple[KeySettings, ...]" = ()
     """Keys of the notices between processes; the first signs. Without any, they are not signed."""
 
@@ -114,6 +119,9 @@
     "remote_penalty_ms": (int, float),
     "store_silence_limit_ms": (int, float),
     "store_rewrites_per_s": (int, float),
+    "processor_share": (int, float, type(None)),
+    "processors": (int, float, type(None)),
+    "link_mbps": (int, float, type(None)),
     "keys": (list,),
 }
 """Accepted types of the value of each key."""
@@ -128,6 +136,9 @@
     "remote_penalty_ms",
     "store_silence_limit_ms",
     "store_rewrites_per_s",
+    "processor_share",
+    "processors",
+    "link_mbps",
     "keys",
 }
 KEY_RANGES = {
@@ -136,6 +147,10 @@
     "store_rewrites_per_s": (MIN_STORE_REWRITES_PER_S, MAX_STORE_REWRITES_PER_S),
 }
 """Least and largest value of each key that has both."""
+MACHINE_KEYS = ("processor_share", "processors", "link_mbps")
+"""Keys of what the machine has."""
+MAX_MACHINE_SIZE = 10_000_000
+"""Bound of the values of these keys; also excludes infinity, which JSON readers accept."""
 SOCKET_ADDRESS_KEYS = ("packets", "readiness", "heartbeats", "answers", "backend", "store")
 AGENT_KEYS = ("heartbeats", "answers", "backend", "service")
 
@@ -217,6 +232,9 @@
         yield Fault(FaultId.BAD_PORT, key, f"{value} is not a valid port", hint, file_name)
     if key in ("heartbeat_interval_ms", "log_lines_per_s") and value <= 0:
         yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is not positive", "", file_name)
+    if key in MACHINE_KEYS and value is not None and not 0 <= value < MAX_MACHINE_SIZE:
+        hint = f"use a number below {MAX_MACHINE_SIZE}, or 0 or nothing if it is not known"
+        yield Fault(FaultId.OUT_OF_RANGE, key, f"{value} is out of range", hint, file_name)
     if key in KEY_RANGES:
         least, most = KEY_RANGES[key]
         if not least <= value <= most:
@@ -305,6 +323,9 @@
         store_rewrites_per_s=float(
             values.get("store_rewrites_per_s", DEFAULT_STORE_REWRITES_PER_S)
         ),
+        processor_share=values.get("processor_share"),
+        processors=values.get("processors"),
+        link_mbps=values.get("link_mbps"),
         keys=_build_keys(values.get("keys", [])),
     )
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
@@ -18,8 +18,12 @@
 from fescueseam.handshake.member import Availability, Identity, Load, Member, Role
 from fescueseam.handshake.members import Fleet
 from fescueseam.handshake.openings import BUSY_BACKOFF_S, REJECTED_BACKOFF_S
+from fescueseam.handshake.rules import Route, RouteShare, Rules
+from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.remote import RemotePreference
 
 from .one_slot_model import (
+    FAR_REPORT_INTERVAL_S,
     NEAR_REPORT_INTERVAL_S,
     AnnounceIdle,
     Model,
@@ -229,6 +233,7 @@
         excluded,
         model.now,
         REMOTE_PENALTY_S,
+        request.balancer.remote,
         even_if_busy=even_if_busy,
     )
     if member is not None:
@@ -293,7 +298,9 @@
 
 
 EXPECTED_DELAY = "least-expected-delay"
+CONSTANT_PENALTY = "constant-penalty"
 WAYS: dict[str, tuple[PlaceRequest, AnnounceIdle]] = {
+    CONSTANT_PENALTY: (place_by_expected_delay, announce_nothing),
     EXPECTED_DELAY: (place_by_expected_delay, announce_nothing),
     "recently-full-last": (place_avoiding_recently_full, announce_nothing),
     "two-probes": (place_by_probes(2), announce_nothing),
@@ -313,10 +320,16 @@
     balancer_count: int = 24,
     load_share: float = LOAD_SHARE,
     demand: Demand = DEMANDS[EVEN],
+    far_report_interval_s: float = FAR_REPORT_INTERVAL_S,
+    has_target: bool = False,
 ) -> OneSlotResult:
     """Run Poisson arrivals at random balancers; three data centres share servers and balancers."""
     place, announce_idle = WAYS[way]
     model = Model(random.Random(f"model/{seed}"), place, announce_idle)
+    model.far_report_interval_s = far_report_interval_s
+    needs = RouteNeeds(TARGET_S, 4 * TARGET_S) if has_target else None
+    route = Route(SERVICE, 1, 1, (RouteShare(SERVICE),), needs)
+    model.configuration.update_rules(Rules(1, (route,)), 0.0)
     for number in range(server_count):
         data_centre = f"dc-{number // len(SPEEDS) % DATA_CENTRES}"
         name = f"agent-{number:03}"
@@ -325,7 +338,7 @@
     for number in range(balancer_count):
         data_centre = f"dc-{number % DATA_CENTRES}"
         own = Identity(f"balancer-{number:03}", Role.BALANCER, 1 + number, data_centre)
-        model.balancers.append(ModelBalancer(Fleet(own)))
+        model.balancers.append(_build_balancer(own, way, balancer_count))
     for balancer in model.balancers:
         # A data centre with a balancer reports to the others less often.
         for other in model.balancers:
@@ -342,6 +355,15 @@
     return _summarise(model, requests, time_s)
 
 
+def _build_balancer(own: Identity, way: str, balancer_count: int) -> ModelBalancer:
+    if way == CONSTANT_PENALTY:
+        return ModelBalancer(Fleet(own))
+    senders = balancer_count - balancer_count // DATA_CENTRES
+    names = (f"dc-{number}" for number in range(DATA_CENTRES))
+    remote = RemotePreference(own.name, own.data_centre, dict.fromkeys(names, senders))
+    return ModelBalancer(Fleet(own), remote=remote)
+
+
 def _schedule_arrivals(
     model: Model, seed: int, time_s: float, load_share: float, demand: Demand
 ) -> list[Request]:
--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -109,7 +109,10 @@
             effects.append(SendNotice(entry.probe_origin, Located(flow, Holding.YES)))
             entry.probe_origin = 0
         if not segment.opens:
+            if not entry.is_open:
+                self.averages.record_flow()
             self.flows.mark_open(flow, entry)
+            self.averages.record_answer_bytes(segment.data_bytes)
         self._update_utilisation(now)
         end = self.flows.record_backend_packet(flow, entry, segment, now)
         if end is not None:
@@ -232,6 +235,7 @@
             leaving=self.admission.leaving,
             held=build_held_flows(self.flows, self.backend, now),
             slowness=slowness if slowness >= RECOVERED_RATIO else 0.0,
+            flow_bytes=self.averages.flow_bytes,
         )
 
     def build_report(
--- a/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
@@ -11,6 +11,7 @@
 from fescueseam.handshake.rules import ActiveConfiguration
 from fescueseam.handshake.segments import FlowId
 from fescueseam.overload.admission import limit_priority
+from fescueseam.overload.remote import RemotePreference
 from fescueseam.overload.reserve import ServerReserves
 
 
@@ -22,6 +23,11 @@
     configuration: ActiveConfiguration
     get_remote_penalty_s: Callable[[], float]
     reserves: ServerReserves = field(factory=ServerReserves)
+    remote: RemotePreference = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        own = self.fleet.own
+        self.remote = RemotePreference(own.name, own.data_centre)
 
     def choose(
         self, opening: PendingOpening, flow: FlowId, excluded: set[str], now: float
@@ -56,6 +62,7 @@
             excluded,
             now,
             self.get_remote_penalty_s(),
+            self.remote,
             flow[2:],
             opening.even_if_busy and not may_wait,
         )
--- a/packages/fescueseam/src/fescueseam/handshake/codec.py
+++ b/packages/fescueseam/src/fescueseam/handshake/codec.py
@@ -196,6 +196,10 @@
     load.heldAddresses = [_encode_service_address(item) for item in addresses]
     if body.load.work:
         _write_work(load.init("work", len(body.load.work)), body.load.work)
+    target.flowBytes = body.load.flow_bytes
+    target.capacity = body.load.capacity
+    target.lagging = body.load.lagging
+    target.resting = body.load.resting
     target.rulesVersion = body.rules_version
     target.outageRevision = body.outage.revision
     target.dataCentresOut = sorted(body.outage.data_centres)
@@ -237,6 +241,10 @@
             ),
             _read_work(load.work),
             load.slowness,
+            source.flowBytes,
+            source.capacity,
+            source.lagging,
+            source.resting,
         ),
         rules_version=source.rulesVersion,
         outage=Outage(
--- a/packages/fescueseam/src/fescueseam/handshake/member.py
+++ b/packages/fescueseam/src/fescueseam/handshake/member.py
@@ -98,6 +98,14 @@
     most reports."""
     slowness: float = 0.0
     """Recent service times relative to the usual ones, if they are longer; otherwise 0."""
+    flow_bytes: float = 0.0
+    """Mean bytes of the answers on one flow, as learned; 0 before that."""
+    capacity: float = 0.0
+    """Capacity of a balancer's machine, 1 for a whole processor; 0 if its settings do not say."""
+    lagging: bool = False
+    """Whether a balancer is behind with its packets and leaves duties to others."""
+    resting: bool = False
+    """Whether a balancer has left the rotation for a time because it is behind."""
 
 
 @define
--- a/packages/fescueseam/src/fescueseam/handshake/members.py
+++ b/packages/fescueseam/src/fescueseam/handshake/members.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from attrs import define, evolve, field
@@ -61,6 +62,10 @@
     """Which flows the agents hold, as they have reported."""
     typical_work: dict[str, dict[ServiceAddress, RouteWork]] = field(factory=dict)
     """Median learned work of each route over the agents of each service."""
+    own_load: Load = field(factory=Load)
+    """What this process reports of itself, if it is a balancer."""
+    far_report_stretch: float = 1.0
+    """Factor on the intervals of the reports to far members."""
     _by_address: dict[int, Member] = field(factory=dict)
     _agents_by_service: dict[str, tuple[Member, ...]] = field(factory=dict)
     """Agents of each service, sorted by name; built on first use and cleared on changes."""
@@ -172,6 +177,17 @@
             )
         return self._balancers
 
+    def count_balancers_elsewhere(self, now: float) -> dict[str, int]:
+        """Return for each data centre how many reachable balancers stand in another one."""
+        counts = Counter(
+            item.identity.data_centre
+            for item in self.list_balancers()
+            if not self.is_unreachable(item, now)
+        )
+        counts[self.own.data_centre] += 1
+        data_centres = {item.identity.data_centre for item in self.members.values()}
+        return {name: counts.total() - counts[name] for name in data_centres}
+
     def is_near(self, member: Member) -> bool:
         """Return whether this process and a member exchange reports often.
 
@@ -208,6 +224,16 @@
             and now - member.last_heard_at < NEIGHBOUR_TIMEOUT_S
         ]
 
+    def list_members_for(self, requester: Role | None, now: float) -> tuple[Identity, ...]:
+        """Return the reachable members that a process of some role uses; none for no role."""
+        return tuple(
+            member.identity
+            for member in self.members.values()
+            if requester is not None
+            and (requester is Role.BALANCER or member.identity.role is Role.BALANCER)
+            and not self.is_unreachable(member, now)
+        )
+
     def is_unreachable(self, member: Member, now: float) -> bool:
         """Return whether a member is silent past its timeout and so presumed to hold no flows."""
         if member.last_heard_at == -math.inf:
@@ -331,10 +357,11 @@
         near, far = self._split(self.members.values())
         far_balancers = [item for item in self.list_balancers() if not self.is_near(item)]
         far_agents = [item for item in far if item.identity.role is Role.AGENT]
+        stretch = self.far_report_stretch
         return [
             (compute_near_balancer_interval(len(near)), near),
-            (compute_far_balancer_interval(len(far_balancers)), far_balancers),
-            (compute_keepalive_interval(len(far_agents)), far_agents),
+            (compute_far_balancer_interval(len(far_balancers)) * stretch, far_balancers),
+            (compute_keepalive_interval(len(far_agents)) * stretch, far_agents),
         ]
 
     def _split(self, members: Iterable[Member]) -> tuple[list[Member], list[Member]]:
--- a/packages/fescueseam/src/fescueseam/handshake/schema.capnp
+++ b/packages/fescueseam/src/fescueseam/handshake/schema.capnp
@@ -68,6 +68,10 @@
   heldDataCentres @10 :List(Text);
   heldForMs @11 :UInt32;
   memberCount @12 :UInt32;
+  capacity @13 :Float32;
+  flowBytes @14 :Float32;
+  lagging @15 :Bool;
+  resting @16 :Bool;
 }
 
 struct Flow {
--- a/packages/fescueseam/src/fescueseam/overload/placement.py
+++ b/packages/fescueseam/src/fescueseam/overload/placement.py
@@ -49,12 +49,16 @@
     }
 
 
-def estimate_server_delay(member: Member, typical: RouteWork | None) -> float:
+def estimate_server_delay(
+    member: Member, typical: RouteWork | None, sent_flows: float | None = None
+) -> float:
     """Return the expected time of a new flow's requests at a server, in seconds.
 
     `typical` is the learned work of the flow's route over the servers of its service, if any.
+    `sent_flows` are those at work there since its report, by default all that this balancer sent.
     """
     load = member.load
+    sent = member.flows_sent_since_report if sent_flows is None else sent_flows
     learned = None if typical is None else member.work.get(typical.address)
     usual_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
     if learned is not None:
@@ -66,7 +70,7 @@
     if typical is not None and is_long(typical):
         # Equal at all servers when each holds long flows in proportion to its speed.
         flow_busy = (learned or typical).busy_share
-        expected_busy = member.pinned_busy + flow_busy * (1 + member.flows_sent_since_report)
+        expected_busy = member.pinned_busy + flow_busy * (1 + sent)
         return service_time_s - usual_s + expected_busy / slots * DEFAULT_SERVICE_TIME_S
     expected_busy = (load.busy + load.utilisation * slots) / 2
     if member.pinned_busy:
@@ -74,7 +78,7 @@
         expected_busy = max(expected_busy, member.pinned_busy)
     else:
         expected_busy += OPEN_FLOW_WEIGHT * load.flows
-    return service_time_s * (1 + (expected_busy + member.flows_sent_since_report) / slots)
+    return service_time_s * (1 + (expected_busy + sent) / slots)
 
 
 def take_trial(aside: Sequence[Member], now: float) -> Member | None:
