Report a server that ended after its last packet, and count no copies of a probe

Copies of a probed request that arrive after its answer were taken for a new request that is never answered: busy 2 to 8 on agents with little to do.

--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -178,9 +178,10 @@
 
     def is_missing(self, now: float) -> bool:
         """Return whether no backend server seems to have run since this process started."""
-        if self.last_heartbeat is not None or self._has_sent_packet:
+        if self.last_heartbeat is not None:
             return False
-        return self.is_first_heartbeat_overdue(now) or self._refuses_connections
+        is_silent = self.is_first_heartbeat_overdue(now) and not self._has_sent_packet
+        return is_silent or self._refuses_connections
 
     def may_hold_unknown_flows(self, now: float) -> bool:
         """Return whether the backend server may hold flows that the agent has not seen."""
@@ -214,6 +215,8 @@
         """Record a packet from the backend server."""
         self.unanswered_openings = 0
         self._has_sent_packet = True
+        # It runs, whatever was found before.
+        self._refuses_connections = False
 
     def record_unanswered_opening(self) -> None:
         """Record an opening packet that was not answered in time."""
--- a/packages/fescueseam/src/fescueseam/handshake/flows.py
+++ b/packages/fescueseam/src/fescueseam/handshake/flows.py
@@ -166,10 +166,14 @@
             entry.caller_finished = True
             if entry.ended:
                 self.mark_ended(flow, entry)
-        if segment.data_bytes == 0 or entry.probe_origin:
-            # Until the backend server answers a probe, it is not known whether it holds the flow.
+        if segment.data_bytes == 0:
             return
         end = (segment.sequence + segment.data_bytes) % SEQUENCE_MODULUS
+        if entry.probe_origin:
+            # Until the backend server answers a probe, it is not known whether it holds the flow.
+            # Later copies of the probe are no further request.
+            entry.next_caller_sequence = end
+            return
         if entry.next_caller_sequence is not None and not is_sequence_after(
             end, entry.next_caller_sequence
         ):
