--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/balancer.py
@@ -206,10 +206,8 @@
         is_behind = body.rules_version < self.configuration.rules.version
         is_behind = is_behind or body.outage.order < self.configuration.outage.order
         if body.requests_report or (changed and is_behind):
-            requester_role = body.identity.role if body.requests_members else None
-            node.send_notice(
-                body.identity.address, self._build_report(requester_role=requester_role)
-            )
+            role = body.identity.role if body.requests_members else None
+            node.send_notice(body.identity.address, self._build_report(requester_role=role))
 
     def _has_member_list(self, now: float) -> bool:
         grace_elapsed = now - self.core.started_at >= STARTUP_GRACE_S
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/handshake/node.py
@@ -32,6 +32,7 @@
 from fescueseam.handshake.segments import Segment, format_address, parse_address
 from fescueseam.retries.backoff import compute_backoff
 from fescueseam_daemon.failure_barrier import FailureBarrier
+from fescueseam_daemon.handshake.dependency_status import DependencyStatus
 from fescueseam_daemon.handshake.events import EventLog
 from fescueseam_daemon.handshake.notice_codec import NoticeCodec
 from fescueseam_daemon.handshake.platform_interface import (
@@ -66,39 +67,11 @@
 MAX_STORE_BACKOFF_S = 2.0
 """Longest delay before a failed call of the store is retried, in seconds. Entries have to be back
 about two seconds after the store's recovery."""
-
-
 REGISTRATION_CHECK_INTERVAL_S = 1.0
 """Interval at which a process without a need for its entry checks whether it has one again, in
 seconds."""
 
 
-@define
-class DependencyStatus:
-    """Reachability of a dependency; failures and recoveries are logged."""
-
-    name: str
-    events: EventLog
-    is_reachable: bool | None = None
-    """Result of the last call; None before the first."""
-    consecutive_failures: int = 0
-
-    def record_success(self, now: float) -> None:
-        """Record a successful call."""
-        self.consecutive_failures = 0
-        if self.is_reachable is False:
-            self.events.log_event("dependency-regained", {"dependency": self.name}, now)
-        self.is_reachable = True
-
-    def record_failure(self, exc: Exception, now: float) -> None:
-        """Record a failed call."""
-        self.consecutive_failures += 1
-        fields = {"dependency": self.name, "cause": str(exc), "failures": self.consecutive_failures}
-        event = "dependency-lost" if self.is_reachable is not False else "dependency-still-lost"
-        self.events.log_event(event, fields, now)
-        self.is_reachable = False
-
-
 @define(eq=False)
 class Node:
     """Sockets and clients of one process."""
--- a/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
+++ b/packages/fescueseam-daemon/src/fescueseam_daemon/tests/test_observability.py
@@ -109,6 +109,7 @@
 
 HANDSHAKE_SOURCES = [
     *(ROOT / "packages/fescueseam/src/fescueseam/handshake").glob("*.py"),
+    *(ROOT / "packages/fescueseam/src/fescueseam/overload").glob("*.py"),
     *(ROOT / "packages/fescueseam-daemon/src/fescueseam_daemon/handshake").glob("*.py"),
 ]
 
@@ -117,6 +118,11 @@
     sources = "".join(path.read_text() for path in HANDSHAKE_SOURCES)
     written = set(re.findall(r'\b(?:log_event|LogEvent)\(\s*"([a-z-]+)"', sources))
     written |= set(re.findall(r'"(dependency-[a-z-]+)"', sources))
-    assert {"flow-offered", "member-state", "dependency-lost"} <= written, "the pattern is stale"
+    assert {
+        "flow-offered",
+        "member-state",
+        "dependency-lost",
+        "server-set-aside",
+    } <= written, "the pattern is stale"
     page = (ROOT / "docs/OPERATIONS.md").read_text()
     assert {name for name in written if f"`{name}`" not in page} == set()
