Refuse no opening that an agent may have delivered, and mend the review's smaller finds

The waiting openings of a lost agent are offered elsewhere as before. - Servers that are set aside for their speed take openings if no other is left. - The comparison of speeds runs once for each server that turns slow, not for each report of a general slowness. - Copies of openings no longer count as misses of a class; a guessed retry decides no refusal by its limit; a full search leaves offers for a wait.

test_late_answers and the new test of speeds fail without the change.

--- a/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
@@ -56,6 +56,21 @@
         # An opening that asks to wait goes to agents that had a free slot lately: they shorten its
         # wait, and those without one were asked by others.
         may_wait = opening.can_wait and self.configuration.find_needs(flow) is not None
+        compares_queues = opening.even_if_busy and not may_wait
+        member = self._choose(opening, flow, excluded, compares_queues, now)
+        if member is None and opening.even_if_busy and may_wait:
+            # Only servers that are set aside for their speed are left; their room counts now.
+            member = self._choose(opening, flow, excluded, True, now)
+        return member
+
+    def _choose(
+        self,
+        opening: PendingOpening,
+        flow: FlowId,
+        excluded: set[str],
+        compares_queues: bool,
+        now: float,
+    ) -> Member | None:
         return choose_agent(
             self.fleet,
             self.configuration,
@@ -65,5 +80,5 @@
             self.get_remote_penalty_s(),
             self.remote,
             flow[2:],
-            opening.even_if_busy and not may_wait,
+            compares_queues,
         )
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -16,6 +16,7 @@
 from fescueseam.handshake.openings import (
     BUSY_BACKOFF_S,
     DEFERRED_TIMEOUT_S,
+    OPENING_ANSWER_TIMEOUT_S,
     REJECTED_BACKOFF_S,
     DeferredOpenings,
     OfferedOpenings,
@@ -102,9 +103,9 @@
         orders: dict[FlowId, ReturnOrder] = {}
         for flow, opening in list(self.deferred.items()):
             needs = self.configuration.find_needs(flow)
-            order = compute_return_order(
-                needs, 0.0, now - opening.requested_at, opening.deferred_at or now
-            )
+            # That it is a retry is only a guess, which decides no refusal.
+            since = opening.opened_at if opening.is_retry else opening.requested_at
+            order = compute_return_order(needs, 0.0, now - since, opening.deferred_at or now)
             if order is not None:
                 orders[flow] = order
                 continue
@@ -175,6 +176,12 @@
         opening = self.offered.find(flow)
         if opening is None or opening.agent != agent_name:
             return []
+        is_returned_late = flow in self.offered.delivered and (
+            now - opening.sent_at >= OPENING_ANSWER_TIMEOUT_S
+        )
+        if is_returned_late:
+            # The server may yet answer an opening that its agent has given up.
+            opening.unanswered_offers[agent_name] = opening.sent_at
         self.offered.discard(flow)
         member = self.fleet.find(agent_name)
         if opening.wait_step and not rejected:
@@ -204,7 +211,14 @@
         if opening.deferred_at is None:
             opening.deferred_at = now
         if not is_agent_expected or not self.deferred.has_room():
-            return self.refuse(opening.segment, flow, reason, now, opening.service)
+            return self.refuse(
+                opening.segment,
+                flow,
+                reason,
+                now,
+                opening.service,
+                self._may_be_delivered(opening),
+            )
         if now - opening.deferred_at >= DEFERRED_TIMEOUT_S:
             fields = {"flow": format_flow(flow), "service": opening.service, "reason": "waited"}
             return [LogEvent("opening-dropped", fields)]
@@ -222,10 +236,14 @@
         reason: str,
         now: float,
         service: str = "",
+        may_be_delivered: bool = False,
         requested_at: float | None = None,
         **inputs: object,
     ) -> Effects:
-        """Reset an opening, or drop it if this process does not know enough to refuse it."""
+        """Reset an opening, or drop it if this process does not know enough to refuse it.
+
+        One that an agent left unanswered may have been delivered; its caller retransmits it.
+        """
         fields = {
             **inputs,
             "flow": format_flow(flow),
@@ -236,6 +254,8 @@
         can_refuse = (
             self.configuration.rules.version > 0 and now - self.started_at >= STARTUP_GRACE_S
         )
+        if may_be_delivered:
+            return [LogEvent("opening-dropped", {**fields, "reason": "unanswered"})]
         if segment.attempt > 0 or not can_refuse:
             return [LogEvent("opening-dropped", fields)]
         if self.configuration.find_needs(flow) is not None and reason != REASON_LIMIT:
@@ -258,6 +278,7 @@
             lost = LogEvent("waiting-opening-lost", fields)
             return [lost, *self.offer_elsewhere(flow, opening.agent, True, now)]
         opening.was_unanswered = True
+        opening.unanswered_offers[opening.agent] = opening.sent_at
         # Agents of earlier builds reject offers that allow a wait.
         opening.can_wait = opening.can_wait and not opening.wait_step
         if self.fleet.record_unanswered(opening.agent, now):
@@ -310,10 +331,6 @@
             opening.wait_offers += 1
             return self.offer_to(member, opening, flow, now)
         self.homes.pop(flow, None)
-        if opening.was_unanswered:
-            # An agent that did not answer may have delivered it.
-            fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
-            return [LogEvent("opening-dropped", fields)]
         return self._refuse_request(opening, flow, plan.reason, now, service_time_s)
 
     def record_delivery(self, opening: PendingOpening, flow: FlowId, now: float) -> None:
@@ -345,9 +362,24 @@
             inputs["limit_ms"] = round(1000 * needs.limit_s)
             inputs["priority"] = needs.priority
         return self.refuse(
-            opening.segment, flow, reason, now, opening.service, opening.requested_at, **inputs
+            opening.segment,
+            flow,
+            reason,
+            now,
+            opening.service,
+            self._may_be_delivered(opening),
+            opening.requested_at,
+            **inputs,
         )
 
+    def _may_be_delivered(self, opening: PendingOpening) -> bool:
+        """Return whether an agent that left an offer unanswered was heard after it.
+
+        Only its answer may be lost or late, while the opening was delivered.
+        """
+        members = ((self.fleet.find(name), at) for name, at in opening.unanswered_offers.items())
+        return any(member is not None and member.last_heard_at > at for member, at in members)
+
     def _is_waiting_in_vain(self, opening: PendingOpening, now: float) -> bool:
         """Return whether the agent at which an opening waits is lost."""
         if opening.waits_until is None:
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -7,7 +7,12 @@
 
 from fescueseam.handshake.free_slots import FREE_SLOT_OFFERS_LIMIT
 from fescueseam.handshake.segments import FlowId, Segment
-from fescueseam.overload.admission import LONGEST_WAIT_S, WAIT_STEPS
+from fescueseam.overload.admission import (
+    IN_TIME_OFFERS_LIMIT,
+    LATE_OFFERS_LIMIT,
+    LONGEST_WAIT_S,
+    WAIT_STEPS,
+)
 from fescueseam.overload.return_order import ReturnOrder
 
 OFFER_TIMEOUT_S = 0.06
@@ -22,7 +27,7 @@
 further request would wait too long to be of use."""
 DELIVERED_RETENTION_S = 0.4
 """Time for which a delivered opening is kept, in seconds, as the backend server may return it."""
-OFFERS_LIMIT = 12
+OFFERS_LIMIT = FREE_SLOT_OFFERS_LIMIT + IN_TIME_OFFERS_LIMIT + LATE_OFFERS_LIMIT
 """Largest number of offers of one opening: a search for a free slot and a few requests to queue
 it. More would not end before the caller retransmits the opening."""
 OFFERED_LIMIT = 8192
@@ -90,6 +95,8 @@
     free_slot_offers_limit: int = FREE_SLOT_OFFERS_LIMIT
     """Number of agents that are asked for a free slot."""
     offers_left: int = OFFERS_LIMIT
+    unanswered_offers: dict[str, float] = field(factory=dict)
+    """Agents that left an offer unanswered, or gave its opening up late, and when it was sent."""
     was_unanswered: bool = False
     """Whether an agent has left an offer unanswered, so that an answer may only have been lost."""
     deferred_at: float | None = None
--- a/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
+++ b/packages/fescueseam/src/fescueseam/handshake/wait_planning.py
@@ -7,6 +7,7 @@
 from fescueseam.handshake.segments import FlowId
 from fescueseam.overload.admission import (
     IN_TIME_OFFERS_LIMIT,
+    REASON_LIMIT,
     REASON_RETRY_BUDGET,
     WAIT_STEPS,
     WaitPlan,
@@ -64,6 +65,11 @@
             opening.wait_offers = max(opening.wait_offers, limit)
         elapsed_s, attempt_s = now - opening.requested_at, now - opening.opened_at
         plan = plan_wait(needs, service_time_s, elapsed_s, attempt_s, opening.wait_offers, limit)
+        if plan.reason == REASON_LIMIT and opening.is_retry:
+            # That it is a retry is only a guess, which decides no refusal.
+            plan = plan_wait(
+                needs, service_time_s, attempt_s, attempt_s, opening.wait_offers, limit
+            )
         if not plan.step or WAIT_STEPS[plan.step].late:
             self.record_search(opening, False)
         return plan
@@ -71,7 +77,12 @@
     def record_outcome(
         self, opening: PendingOpening, needs: RouteNeeds, now: float, refused: bool = False
     ) -> None:
-        """Record whether an opening got a slot while it could meet its target."""
+        """Record whether an opening got a slot while it could meet its target.
+
+        Copies, and openings that an agent left unanswered, have waited for lost packets.
+        """
+        if opening.segment.attempt > 0 or opening.was_unanswered:
+            return
         allowed_s = compute_allowed_wait_s(needs.target_s, 0.0, now - opening.requested_at)
         in_time = allowed_s >= 0 and not refused
         priority = limit_priority(needs.priority)
--- a/packages/fescueseam/src/fescueseam/overload/speeds.py
+++ b/packages/fescueseam/src/fescueseam/overload/speeds.py
@@ -120,13 +120,17 @@
     """Which servers a balancer sets aside, by the name of their agents."""
 
     _holds: dict[str, _Hold] = field(factory=dict)
+    _slow: set[str] = field(factory=set)
+    """Members whose last report says that their server is slow."""
     _refreshed_at: dict[str, float] = field(factory=dict)
     _compared_at: dict[str, float] = field(factory=dict)
 
     def handle_report(self, fleet: Fleet, member: Member, now: float) -> Effects:
         """Compare the servers of a member's service if it is due or the member's turned slow."""
         service = member.identity.service
-        has_turned_slow = member.load.slowness >= SLOW_RATIO and member.slow_factor <= 1.0
+        is_slow = member.load.slowness >= SLOW_RATIO
+        has_turned_slow = is_slow and member.identity.name not in self._slow
+        (self._slow.add if is_slow else self._slow.discard)(member.identity.name)
         refreshed_at = self._refreshed_at.get(service, -math.inf)
         if not has_turned_slow and now - refreshed_at < REFRESH_INTERVAL_S:
             return []
@@ -135,6 +139,7 @@
     def _compare(self, fleet: Fleet, service: str, now: float) -> Effects:
         """Set servers aside or use them as before, by the newest reports; log each change."""
         self._refreshed_at[service] = now
+        self._slow &= fleet.members.keys()
         heard = [
             item
             for item in fleet.list_agents((service,))
--- a/packages/fescueseam/src/fescueseam/overload/tests/test_speeds.py
+++ b/packages/fescueseam/src/fescueseam/overload/tests/test_speeds.py
@@ -9,11 +9,12 @@
 from functools import partial
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fescueseam.handshake.balancer import Balancer
 from fescueseam.handshake.segments import FlowId
 from fescueseam.handshake.tests.conftest import (
+    ALERTS,
     Cluster,
     FakeBackend,
     build_flow,
@@ -21,7 +22,7 @@
     build_segment,
 )
 from fescueseam.overload.placement import TRIAL_INTERVAL_OPENINGS
-from fescueseam.overload.speeds import MAX_HOLD_S
+from fescueseam.overload.speeds import MAX_HOLD_S, ServerSpeeds
 
 TARGET_S = 0.25
 SERVICE_TIME_S = 0.05
@@ -191,3 +192,24 @@
     cluster.run(2.0)
     callers.run(5.0)
     assert list_aside(cluster, 1) == ["agent-11"]
+
+
+def test_general_slowness_is_compared_once_for_each_server_that_turns_slow() -> None:
+    cluster = Cluster()
+    balancer = cluster.add_balancer(1)
+    for address in range(11, 31):
+        cluster.add_agent(address)
+    cluster.run(1.0)
+    members = balancer.fleet.list_agents((ALERTS,))
+    for member in members:
+        member.load = evolve(member.load, slowness=3.0)
+    compared = []
+    compare = balancer.speeds._compare
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            ServerSpeeds, "_compare", lambda *args: compared.append(1) or compare(*args[1:])
+        )
+        for step in range(4):
+            for member in members:
+                balancer.handle_agent_report(member.identity.name, cluster.now + 0.01 * step)
+    assert len(compared) <= len(members) + 1
