--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -131,7 +131,7 @@
                 "failing": round(self.failures.compute_failing_share(0, now), 2),
             }
             effects.append(LogEvent("request-unanswered", fields))
-        if end is not None and self.work.slowness.take_turn():
+        if end is not None and self.work.slowness.poll_turned_slow():
             effects += self.report_to_all(now)
         if segment.resets:
             self.flows.mark_ended(flow, entry)
--- a/packages/fescueseam/src/fescueseam/overload/speeds.py
+++ b/packages/fescueseam/src/fescueseam/overload/speeds.py
@@ -85,7 +85,7 @@
         self._ratios.clear()
         self.is_slow = self._has_turned_slow = False
 
-    def take_turn(self) -> bool:
+    def poll_turned_slow(self) -> bool:
         """Return whether the server has turned slow since the last call."""
         turned, self._has_turned_slow = self._has_turned_slow, False
         return turned
@@ -128,9 +128,13 @@
     def handle_report(self, fleet: Fleet, member: Member, now: float) -> Effects:
         """Compare the servers of a member's service if it is due or the member's turned slow."""
         service = member.identity.service
+        name = member.identity.name
         is_slow = member.load.slowness >= SLOW_RATIO
-        has_turned_slow = is_slow and member.identity.name not in self._slow
-        (self._slow.add if is_slow else self._slow.discard)(member.identity.name)
+        has_turned_slow = is_slow and name not in self._slow
+        if is_slow:
+            self._slow.add(name)
+        else:
+            self._slow.discard(name)
         refreshed_at = self._refreshed_at.get(service, -math.inf)
         if not has_turned_slow and now - refreshed_at < REFRESH_INTERVAL_S:
             return []
--- a/packages/fescueseam/src/fescueseam/overload/tests/test_work.py
+++ b/packages/fescueseam/src/fescueseam/overload/tests/test_work.py
@@ -75,7 +75,7 @@
         now = 10.0 + number
         work.record_request((1, number, *ROUTE), True, 1, 1, now)
         work.record_end((1, number, *ROUTE), True, 0, True, now + service_time_s)
-        alarms += work.slowness.take_turn()
+        alarms += work.slowness.poll_turned_slow()
     assert alarms <= requests / 1000
 
 
