--- a/packages/fescueseam/src/fescueseam/handshake/choice.py
+++ b/packages/fescueseam/src/fescueseam/handshake/choice.py
@@ -119,7 +119,7 @@
     target_s = None
     # A long flow stays where it is placed, so a wait nearby is no price that is paid once.
     if remote is not None and (typical is None or not is_long(typical)):
-        target_s = remote.find_target(service, configuration.rules.version, configuration.rules)
+        target_s = configuration.find_target(service)
     if remote is None or target_s is None:
         # Agents are listed by name, and the first of equals is chosen.
         return min(preferred, key=lambda member: estimate(member, remote_penalty_s))
--- a/packages/fescueseam/src/fescueseam/handshake/rules.py
+++ b/packages/fescueseam/src/fescueseam/handshake/rules.py
@@ -74,6 +74,16 @@
     return rules
 
 
+def _collect_targets(rules: Rules) -> dict[str, float]:
+    targets: dict[str, float] = {}
+    for route in rules.routes:
+        if route.needs is not None:
+            for share in route.shares:
+                known = targets.get(share.service, math.inf)
+                targets[share.service] = min(known, route.needs.target_s)
+    return targets
+
+
 @define
 class ActiveConfiguration:
     """Newest rules and outage; older ones are ignored."""
@@ -82,6 +92,8 @@
     outage: Outage = field(factory=Outage)
     holds: OutageHolds = field(factory=OutageHolds)
     _routes: dict[ServiceAddress, Route] = field(factory=dict)
+    _targets: dict[str, float] = field(factory=dict)
+    """Least latency target of each service's routes, in seconds."""
     _former_services: dict[ServiceAddress, dict[str, float]] = field(factory=dict)
     """Services that routes had in earlier rules, and when each was last replaced."""
 
@@ -92,6 +104,7 @@
         previous = self._routes
         self.rules = rules
         self._routes = {(route.address, route.port): route for route in rules.routes}
+        self._targets = _collect_targets(rules)
         self._record_former_services(previous, now)
         return True
 
@@ -121,6 +134,10 @@
         route = self.find_route(flow)
         return None if route is None else route.needs
 
+    def find_target(self, service: str) -> float | None:
+        """Return the least latency target of a service's routes, in seconds; None without one."""
+        return self._targets.get(service)
+
     def choose_service(self, flow: FlowId) -> str | None:
         """Return the service of a new flow, chosen by the flow's hash if the route has several."""
         route = self.find_route(flow)
--- a/packages/fescueseam/src/fescueseam/overload/remote.py
+++ b/packages/fescueseam/src/fescueseam/overload/remote.py
@@ -4,14 +4,11 @@
 many balancers see the same free server at the same time.
 """
 
-import hashlib
 import math
-from collections.abc import Iterable
-from typing import Protocol
 
 from attrs import define, field, frozen
 
-from fescueseam.overload.needs import RouteNeeds
+from fescueseam.overload.duties import hash_name
 
 MEAN_BYTES_WEIGHT = 0.01
 """Weight of a new flow in the mean of what the flows of this balancer carry."""
@@ -40,34 +37,6 @@
 """Time for which flows sent to a server are remembered, in seconds: several service times."""
 
 
-class ServiceShare(Protocol):
-    """A service of a route."""
-
-    @property
-    def service(self) -> str:
-        """Return its name."""
-
-
-class RouteTargets(Protocol):
-    """A route as the configuration states it."""
-
-    @property
-    def shares(self) -> Iterable[ServiceShare]:
-        """Return its services."""
-
-    @property
-    def needs(self) -> RouteNeeds | None:
-        """Return what its callers need."""
-
-
-class RulesTargets(Protocol):
-    """The routes of a configuration."""
-
-    @property
-    def routes(self) -> Iterable[RouteTargets]:
-        """Return the routes."""
-
-
 @frozen
 class RemoteChange:
     """Flows of a service begin to go to another data centre, or cease to."""
@@ -118,21 +87,9 @@
     _remote_since: dict[str, float] = field(factory=dict)
     """Services whose flows go to another data centre, and when the last one did."""
     _ranks: dict[str, bytes] = field(factory=dict)
-    _targets: dict[str, float] = field(factory=dict)
-    _targets_version: int = -1
     _mean_bytes: float = 0.0
     """Mean bytes of a flow, over the flows of all services; 0 before any is known."""
 
-    def find_target(self, service: str, version: int, rules: RulesTargets) -> float | None:
-        """Return the least latency target of a service's routes, in seconds, or None.
-
-        Routes are read once for each version of the rules.
-        """
-        if version != self._targets_version:
-            self._targets_version = version
-            self._targets = _read_targets(rules.routes)
-        return self._targets.get(service)
-
     def is_good_enough(self, service: str, near_s: float, target_s: float) -> bool:
         """Return whether an expected delay nearby leaves callers within their target."""
         limit_s = NEAR_TARGET_SHARE * target_s
@@ -214,17 +171,5 @@
     def _rank(self, name: str) -> bytes:
         rank = self._ranks.get(name)
         if rank is None:
-            text = f"{self.own_name}\0{name}".encode()
-            rank = self._ranks[name] = hashlib.blake2b(text, digest_size=8).digest()
+            rank = self._ranks[name] = hash_name(f"{self.own_name}\0{name}")
         return rank
-
-
-def _read_targets(routes: Iterable[RouteTargets]) -> dict[str, float]:
-    targets: dict[str, float] = {}
-    for route in routes:
-        if route.needs is None:
-            continue
-        for share in route.shares:
-            known = targets.get(share.service, math.inf)
-            targets[share.service] = min(known, route.needs.target_s)
-    return targets
