Read the slots of the last heartbeat in one place

The default for a backend server without a heartbeat stood at six places; each keeps its own through the argument of BackendMonitor.get_slots.

--- a/packages/fescueseam/src/fescueseam/handshake/agent.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent.py
@@ -120,8 +120,7 @@
             self.work.record_end(flow, end.answered, self.flows.busy, is_usual, now)
             self.failures.record_request_end(not end.answered, now)
         if end is not None and end.answered:
-            heartbeat = self.backend.last_heartbeat
-            slots = max(1, heartbeat.slots) if heartbeat is not None else 1
+            slots = max(1, self.backend.get_slots(1))
             self.averages.record_service_time(end.duration_s, (self.flows.busy + 1) / slots)
             effects.append(Observe("service_seconds", self.backend.service, end.duration_s))
         elif end is not None:
@@ -220,14 +219,13 @@
     def describe_load(self, now: float) -> Load:
         """Return the load for the next report, without the learned work."""
         self._update_utilisation(now)
-        heartbeat = self.backend.last_heartbeat
         slowness = self.work.compute_slowness(self.flows.is_pending, now)
         stuck = self.flows.count_stuck(compute_stuck_after(self.averages.service_time_s), now)
         return Load(
             availability=self.backend.compute_availability(now),
             busy=self.flows.busy + len(self.admission.waiting),
             flows=self.flows.count_open(),
-            slots=0 if heartbeat is None else heartbeat.slots,
+            slots=self.backend.get_slots(0),
             utilisation=self.averages.utilisation,
             service_time_s=self.averages.service_time_s,
             failing=self.failures.compute_failing_share(stuck, now),
@@ -335,10 +333,9 @@
         requests = entry.requests
         self.flows.record_caller_packet(flow, entry, segment, now)
         if entry.pending_request_at == now:
-            slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 1
             is_new = entry.requests > requests
+            slots = self.backend.get_slots(1)
             self.work.record_request(flow, is_new, self.flows.busy, slots, now)
 
     def _update_utilisation(self, now: float) -> None:
-        slots = self.backend.last_heartbeat.slots if self.backend.last_heartbeat else 0
-        self.averages.record_busy_slots(self.flows.busy, slots, now)
+        self.averages.record_busy_slots(self.flows.busy, self.backend.get_slots(0), now)
--- a/packages/fescueseam/src/fescueseam/handshake/backend.py
+++ b/packages/fescueseam/src/fescueseam/handshake/backend.py
@@ -178,6 +178,10 @@
         """Record that nothing listens at the backend server's address."""
         self._refuses_connections = True
 
+    def get_slots(self, unknown: int) -> int:
+        """Return the slots that the last heartbeat states, or `unknown` before the first."""
+        return unknown if self.last_heartbeat is None else self.last_heartbeat.slots
+
     def is_missing(self, now: float) -> bool:
         """Return whether no backend server seems to have run since this process started."""
         if self.last_heartbeat is not None:
--- a/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_admission.py
@@ -218,10 +218,9 @@
         return waiter.flow, segment
 
     def _describe_server(self, now: float) -> ServerState:
-        heartbeat = self.backend.last_heartbeat
         return ServerState(
             self.flows.count_at_work(now),
-            heartbeat.slots if heartbeat is not None else 1,
+            self.backend.get_slots(1),
             self.averages.slot_time_s,
             self.backend.cold_start.is_cold(now),
         )
@@ -294,18 +293,16 @@
             return "agent-leaving"
         if self.own.data_centre in self.outage.data_centres:
             return "data-centre-out"
-        heartbeat = self.backend.last_heartbeat
         bound = self.cold_bounds.get(self.backend.service, 0.0)
-        state_known = self.rules_version > 0 and heartbeat is not None
+        state_known = self.rules_version > 0 and self.backend.last_heartbeat is not None
         if not self.backend.cold_start.can_admit(
             bound if state_known else FALLBACK_OPENINGS_PER_S,
             now,
             state_known and self.backend.is_cold_state_known(now),
         ):
             return REASON_COLD
-        slots = heartbeat.slots if heartbeat is not None else 1
         busy = self.flows.count_at_work(now)
-        limit = slots * (
+        limit = self.backend.get_slots(1) * (
             OVERFLOW_REQUESTS_PER_SLOT if purpose is Purpose.DELIVER_EVEN_IF_BUSY else 1
         )
         return REASON_BUSY if busy >= limit else ""
