Log the agents kept free at the choice, and build opening events once

An offer that allows a wait listed and sorted the kept agents a second time for its log field. The choice now notes their number, and the log states the one that the choice was made by. The events of dropped and parked openings share a builder.

--- a/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
+++ b/packages/fescueseam/src/fescueseam/handshake/agent_selection.py
@@ -34,6 +34,7 @@
     ) -> Member | None:
         """Return the agent to offer an opening to; None if no agent is eligible."""
         reserved = self.find_reserved(opening, flow, now)
+        opening.kept_free = len(reserved)
         return self._choose_any(opening, flow, excluded | reserved, now)
 
     def find_reserved(self, opening: PendingOpening, flow: FlowId, now: float) -> set[str]:
--- a/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
+++ b/packages/fescueseam/src/fescueseam/handshake/opening_placement.py
@@ -32,11 +32,7 @@
     format_flow,
 )
 from fescueseam.handshake.wait_planning import WaitPlanner
-from fescueseam.overload.admission import (
-    REASON_LIMIT,
-    WAIT_STEPS,
-    limit_priority,
-)
+from fescueseam.overload.admission import REASON_LIMIT, WAIT_STEPS, limit_priority
 from fescueseam.overload.needs import RouteNeeds
 from fescueseam.overload.return_order import ReturnOrder, compute_return_order
 from fescueseam.overload.waits import estimate_service_time_s
@@ -61,6 +57,11 @@
     return Forward(member.identity.address, segment, mark)
 
 
+def _build_event(name: str, opening: PendingOpening, flow: FlowId, reason: str) -> LogEvent:
+    fields = {"flow": format_flow(flow), "service": opening.service, "reason": reason}
+    return LogEvent(name, fields)
+
+
 @define(eq=False)
 class OpeningPlacement:
     """Offers openings to agents, and defers or refuses those that no agent takes."""
@@ -165,7 +166,7 @@
             fields["wait_ms"] = round(1000 * WAIT_STEPS[step].wait_s)
             fields["late"] = WAIT_STEPS[step].late
             fields["priority"] = priority
-            fields["kept_free"] = len(self.selector.find_reserved(opening, flow, now))
+            fields["kept_free"] = opening.kept_free
         forward = build_forward(
             self.fleet, opening.segment, member, opening.service, purpose, step, priority
         )
@@ -220,14 +221,12 @@
                 self._may_be_delivered(opening),
             )
         if now - opening.deferred_at >= DEFERRED_TIMEOUT_S:
-            fields = {"flow": format_flow(flow), "service": opening.service, "reason": "waited"}
-            return [LogEvent("opening-dropped", fields)]
+            return [_build_event("opening-dropped", opening, flow, "waited")]
         opening.sent_at = now
         self.deferred[flow] = opening
         if not is_first_deferral:
             return []
-        fields = {"flow": format_flow(flow), "service": opening.service, "reason": reason}
-        return [LogEvent("opening-parked", fields)]
+        return [_build_event("opening-parked", opening, flow, reason)]
 
     def refuse(
         self,
@@ -396,5 +395,4 @@
         if opening.deferred_at is not None or not opening.was_unanswered:
             return self.defer_or_refuse(opening, flow, now)
         # The agents may be overloaded; the caller retransmits the opening.
-        fields = {"flow": format_flow(flow), "service": opening.service, "reason": "unanswered"}
-        return [LogEvent("opening-dropped", fields)]
+        return [_build_event("opening-dropped", opening, flow, "unanswered")]
--- a/packages/fescueseam/src/fescueseam/handshake/openings.py
+++ b/packages/fescueseam/src/fescueseam/handshake/openings.py
@@ -111,6 +111,8 @@
     """Whether an agent may be asked to let it wait; not if an agent may be of an earlier build."""
     wait_step: int = 0
     """Number of the wait that the last offer allows; 0 if it allows none."""
+    kept_free: int = 0
+    """Number of agents that were kept free of its class at the last choice."""
     wait_offers: int = 0
     """Number of offers that allowed a wait."""
     in_time_offers_limit: int | None = None
