--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/__main__.py
@@ -9,6 +9,7 @@
 from ..world.deployments import DEPLOYMENTS
 from . import jobs, one_slot
 from .jobs import Job, MeasurementSize
+from .one_slot_demand import DEMANDS
 from .results import Result, render_result
 from .variants import CONNECTION_TABLE, CONSISTENT_HASHING, DEPLOYMENT_NAMES, FESCUESEAM, VARIANTS
 
@@ -27,9 +28,7 @@
             for kind in (jobs.BROKEN_FLOWS, jobs.AT_MOST_ONCE, jobs.DATA_CENTRE_OUT):
                 job_list.append(Job(kind, variant, deployment, seed, size))
     job_list += [
-        Job(jobs.ONE_SLOT, way, demand, seed, size)
-        for way in one_slot.WAYS
-        for demand in one_slot.DEMANDS
+        Job(jobs.ONE_SLOT, way, demand, seed, size) for way in one_slot.WAYS for demand in DEMANDS
     ]
     return job_list
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/jobs.py
@@ -10,7 +10,8 @@
 from .data_centre_out import measure_data_centre_out
 from .forwarding import LARGE_PAYLOAD_BYTES, SMALL_PAYLOAD_BYTES, measure_forwarding
 from .ideal_pool import PoolResult, choose_fastest, choose_least_used
-from .one_slot import DEMANDS, measure_one_slot
+from .one_slot import measure_one_slot
+from .one_slot_demand import DEMANDS
 from .results import Measure, Result, make_result
 from .variants import FESCUESEAM
 
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/one_slot.py
@@ -6,7 +6,6 @@
 against it.
 """
 
-import math
 import random
 from collections.abc import Callable
 from functools import partial
@@ -22,6 +21,7 @@
 from fescueseam.overload.needs import RouteNeeds
 from fescueseam.overload.remote import RemotePreference
 
+from .one_slot_demand import DATA_CENTRES, DEMANDS, EVEN, MEAN_SERVICE_TIME_S, Demand
 from .one_slot_model import (
     FAR_REPORT_INTERVAL_S,
     NEAR_REPORT_INTERVAL_S,
@@ -35,51 +35,15 @@
 
 SERVICE = "desk"
 SPEEDS = (0.7, 0.7, 1.7)
-MEAN_SERVICE_TIME_S = 0.03
-"""Mean service time at a server of speed one, in seconds."""
 LOAD_SHARE = 0.75
 """Offered load as a share of what all servers together can serve."""
 REMOTE_PENALTY_S = 0.02
 TARGET_S = 0.25
 """Time within which callers need the answer, in seconds."""
-SWING_PERIOD_S = 6.0
-"""Time in which the demand of each data centre rises and falls once, in seconds."""
-DATA_CENTRES = 3
 SETTLING_SHARE = 0.2
 """Share of the simulated time that is not measured."""
 
 
-@frozen
-class Demand:
-    """How uneven the work and the demand are."""
-
-    tail_share: float = 0.0
-    """Share of the requests that work longer."""
-    tail_factor: float = 1.0
-    swing: float = 0.0
-    """Largest change of a data centre's demand, relative to its mean."""
-
-    def draw_work(self, rng: random.Random) -> float:
-        """Return the work of a request, in seconds at a server of speed one."""
-        mean_factor = 1 + self.tail_share * (self.tail_factor - 1)
-        work_s = rng.expovariate(mean_factor / MEAN_SERVICE_TIME_S)
-        return work_s * (self.tail_factor if rng.random() < self.tail_share else 1.0)
-
-    def compute_weight(self, data_centre: int, now: float) -> float:
-        """Return the demand of a data centre at a time, relative to its mean."""
-        phase = now / SWING_PERIOD_S + data_centre / DATA_CENTRES
-        return 1 + self.swing * math.sin(2 * math.pi * phase)
-
-
-EVEN = "even"
-DEMANDS: dict[str, Demand] = {
-    EVEN: Demand(),
-    "tail": Demand(0.03, 7.0),
-    "swing": Demand(swing=0.55),
-    "tail-and-swing": Demand(0.03, 7.0, 0.55),
-}
-
-
 @frozen
 class OneSlotResult:
     """How requests were placed and how long they waited."""
--- a/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_swinging_demand.py
+++ b/packages/fescueseam-standins/src/fescueseam_standins/measure/tests/test_swinging_demand.py
@@ -8,10 +8,10 @@
 
 from fescueseam_standins.measure.one_slot import (
     CONSTANT_PENALTY,
-    DEMANDS,
     EXPECTED_DELAY,
     measure_one_slot,
 )
+from fescueseam_standins.measure.one_slot_demand import DEMANDS
 
 SIMULATED_S, LOAD_SHARE = 5.0, 0.7
 LEAST_IN_TARGET = 0.99
--- a/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
+++ b/packages/fescueseam/src/fescueseam/handshake/tests/conftest.py
@@ -39,7 +39,12 @@
     Rules,
     ServiceRules,
 )
-from fescueseam.handshake.segments import NO_MARK, FlowId, Segment
+from fescueseam.handshake.segments import FlowId, Segment
+from fescueseam.handshake.tests.packets import (
+    build_backend_segment,
+    build_opening,
+    build_segment,
+)
 
 HOP_DELAY_S = 0.001
 TICK_INTERVAL_S = 0.02
@@ -58,23 +63,6 @@
 )
 
 
-def build_segment(flow: FlowId, **changes: object) -> Segment:
-    """Return a packet from the caller without data, an acknowledgement by default."""
-    blank = Segment(*flow, False, True, False, False, False, 0, 1000, 0, 0, NO_MARK, b"")
-    return evolve(blank, **changes)
-
-
-def build_opening(flow: FlowId, attempt: int = 0) -> Segment:
-    """Return the opening packet of a flow."""
-    return build_segment(flow, opens=True, acknowledges=False, attempt=attempt)
-
-
-def build_backend_segment(flow: FlowId, **changes: object) -> Segment:
-    """Return a packet from the backend server to the caller."""
-    caller, caller_port, service, service_port = flow
-    return build_segment((service, service_port, caller, caller_port), **changes)
-
-
 @define(eq=False)
 class FakeBackend:
     """Simulated backend server that follows the documented interface."""
