--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -390,6 +390,10 @@
         if packet.data:
             self.send(ACK, self.next_seq, self.ack)
 
+    def close(self):
+        """Give the flow up, as after a request without an answer in time."""
+        self.send(FIN | ACK, self.next_seq, self.ack)
+
     async def _wait(self, seconds):
         self.woken.clear()
         try:
