Review: a balancer that is not told of a new agent resets its flows

Shows FLOW broken while endpoints and edge machines are added and the store turns the new agent's machine away: the members that a balancer names to another are cut at 64.

--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -124,6 +124,8 @@
     def __init__(self):
         self.revision, self.objects, self.history = 10, {}, []
         self.changed = asyncio.Event()
+        self.turns_away = False
+        """Whether some machines get 503 for each call."""
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -146,6 +148,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def handle_turned_away(self, method, target, body):
+        if self.turns_away:
+            return 503, {}
+        return await self.handle(method, target, body)
+
     async def handle(self, method, target, body):
         await asyncio.sleep(0.004)
         parts = urlsplit(target)
@@ -472,6 +479,10 @@
         self.processes, self.misses = {}, {name: 2 for name in edges}
         self.store, self.endpoints, self.consumers = Store(), {}, []
         self.tasks, self.is_over = [], False
+        self.late = set()
+        """Machines that are added later; their processes are not started with the others."""
+        self.turned_away = set()
+        """Machines that the store turns away. They reach it at an address of their own."""
 
     @staticmethod
     def _claim_network():
@@ -486,8 +497,8 @@
         raise RuntimeError("no free loopback network")
 
     def get_address(self, name):
-        if name == "store":
-            return f"{self.net}.250"
+        if name in ("store", "store-turning-away"):
+            return f"{self.net}.{250 if name == 'store' else 251}"
         names = [*self.edges, *self.sides]
         return f"{self.net}.{1 + names.index(name)}"
 
@@ -501,6 +512,7 @@
         """Return what the settings template yields for a machine."""
         address, is_side = self.get_address(name), name in self.sides
         seeds = list(self.edges)[:3]
+        store = "store-turning-away" if name in self.turned_away else "store"
         return {
             "instance": name, "role": "agent" if is_side else "balancer",
             "data_centre": self.get_zone(name), "address": address,
@@ -510,7 +522,7 @@
             "answers": f"{address}:{OUTBOUND_PORT}" if is_side else "",
             "backend": f"{address}:{APP_PORT}" if is_side else "",
             "service": self.get_service(name) if is_side else "",
-            "store": f"{self.get_address('store')}:{STORE_PORT}",
+            "store": f"{self.get_address(store)}:{STORE_PORT}",
             "seeds": [f"{self.get_address(item)}:{CONTROL_PORT}" for item in seeds],
             "heartbeat_interval_ms": round(HEARTBEAT_S * 1000), "store_silence_limit_ms": 4000,
             "processor_share": 0.645 if is_side else 0.537, "processors": 1 if is_side else 2,
@@ -582,14 +594,17 @@
     async def start(self):
         self.store.put("config", "main", self.build_manifest(7))
         await serve_http(self.get_address("store"), STORE_PORT, self.store.handle)
+        address = self.get_address("store-turning-away")
+        await serve_http(address, STORE_PORT, self.store.handle_turned_away)
         for name in (*self.edges, *self.sides):
-            self.start_process(name)
+            if name not in self.late:
+                self.start_process(name)
         for name in self.edges:
             self.tasks.append(asyncio.ensure_future(self._probe(name)))
 
     async def wait_until_ready(self, timeout_s=20.0):
         end = time.monotonic() + timeout_s
-        while any(self.misses.values()):
+        while any(self.misses[name] for name in self.edges if name not in self.late):
             if time.monotonic() > end:
                 raise RuntimeError("the daemons did not become ready")
             await asyncio.sleep(0.1)
